--- /dev/null
+++ b/oriolewind-bench/src/main/java/org/oriolewind/bench/package-info.java
@@ -0,0 +1,2 @@
+/** Measurements. */
+package org.oriolewind.bench;
--- /dev/null
+++ b/oriolewind-cli/src/main/java/org/oriolewind/cli/DataCentreCommand.java
@@ -0,0 +1,54 @@
+package org.oriolewind.cli;
+
+import java.util.List;
+import org.apache.commons.cli.CommandLine;
+import org.oriolewind.config.Publication;
+import org.oriolewind.config.SetEdit;
+import org.oriolewind.error.StepException;
+
+/** Takes a data centre out or brings it back. Stateless. */
+final class DataCentreCommand implements CliCommand {
+    @Override
+    public String name() {
+        return "data-centre";
+    }
+
+    @Override
+    public String usage() {
+        return "data-centre out|in NAME";
+    }
+
+    @Override
+    public String summary() {
+        return "take a data centre out, or bring it back";
+    }
+
+    @Override
+    public ExitStatus run(CliContext context, CommandLine line) throws StepException {
+        List<String> arguments = CliContext.arguments(line, 2, 2, usage());
+        String direction = arguments.get(0);
+        String name = arguments.get(1);
+        if (!direction.equals("out") && !direction.equals("in")) {
+            throw new CliException(
+                    ExitStatus.BAD_INPUT, "check arguments", "usage: oriolewind " + usage(), null);
+        }
+        if (MemberList.read(context.store(line)).stream()
+                .noneMatch(member -> member.getDataCentre().equals(name))) {
+            throw new CliException(
+                    ExitStatus.BAD_INPUT,
+                    "check arguments",
+                    "no node has announced itself from data centre " + name,
+                    null);
+        }
+        SetEdit edit = new SetEdit(SetEdit.Target.DATA_CENTRES_OUT, name, direction.equals("out"));
+        Publication publication = context.publisher(line).publish(edit);
+        context.out()
+                .printf(
+                        "data centre %s is %s%s; configuration version %d%n",
+                        name,
+                        direction,
+                        publication.changed() ? "" : " already",
+                        publication.head().config().version());
+        return ExitStatus.OK;
+    }
+}
--- /dev/null
+++ b/oriolewind-cli/src/main/java/org/oriolewind/cli/DrainCommand.java
@@ -0,0 +1,56 @@
+package org.oriolewind.cli;
+
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.Option;
+import org.apache.commons.cli.Options;
+import org.oriolewind.config.Publication;
+import org.oriolewind.config.SetEdit;
+import org.oriolewind.error.StepException;
+
+/** Tells a node to take no new work, or to take it again. Stateless. */
+final class DrainCommand implements CliCommand {
+    @Override
+    public String name() {
+        return "drain";
+    }
+
+    @Override
+    public String usage() {
+        return "drain [--undo] NODE";
+    }
+
+    @Override
+    public String summary() {
+        return "keep new work from a node's backend server; calls in progress go on";
+    }
+
+    @Override
+    public void addOptions(Options options) {
+        options.addOption(Option.builder().longOpt("undo").get());
+    }
+
+    @Override
+    public ExitStatus run(CliContext context, CommandLine line) throws StepException {
+        String node = CliContext.arguments(line, 1, 1, usage()).get(0);
+        boolean drain = !line.hasOption("undo");
+        if (drain
+                && MemberList.read(context.store(line)).stream()
+                        .noneMatch(member -> member.getNode().equals(node))) {
+            throw new CliException(
+                    ExitStatus.BAD_INPUT,
+                    "check arguments",
+                    "no node has announced itself as " + node,
+                    null);
+        }
+        SetEdit edit = new SetEdit(SetEdit.Target.DRAINED_NODES, node, drain);
+        Publication publication = context.publisher(line).publish(edit);
+        context.out()
+                .printf(
+                        "node %s %s%s; configuration version %d%n",
+                        node,
+                        drain ? "takes no new work" : "takes work",
+                        publication.changed() ? "" : " already",
+                        publication.head().config().version());
+        return ExitStatus.OK;
+    }
+}
--- /dev/null
+++ b/oriolewind-cli/src/main/java/org/oriolewind/cli/MemberList.java
@@ -0,0 +1,26 @@
+package org.oriolewind.cli;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import org.oriolewind.error.StepException;
+import org.oriolewind.membership.MembersObject;
+import org.oriolewind.platform.ObjectStore;
+import org.oriolewind.platform.StoredObject;
+import org.oriolewind.wire.Member;
+
+/** Reads the members of all data centres from the platform. Stateless. */
+final class MemberList {
+    private MemberList() {}
+
+    static List<Member> read(ObjectStore store) throws StepException {
+        List<Member> members = new ArrayList<>();
+        for (StoredObject stored : store.list(MembersObject.PREFIX).objects()) {
+            if (stored.value().isPresent()) {
+                members.addAll(MembersObject.decode(stored.value().get(), "platform").members());
+            }
+        }
+        members.sort(Comparator.comparing(Member::getDataCentre).thenComparing(Member::getNode));
+        return members;
+    }
+}
--- /dev/null
+++ b/oriolewind-cli/src/main/java/org/oriolewind/cli/StatusCommand.java
@@ -0,0 +1,191 @@
+package org.oriolewind.cli;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.Option;
+import org.apache.commons.cli.Options;
+import org.oriolewind.config.ArchivedNote;
+import org.oriolewind.config.HeadObject;
+import org.oriolewind.config.JsonFormat;
+import org.oriolewind.config.Move;
+import org.oriolewind.config.MoveEvidence;
+import org.oriolewind.config.MovePhase;
+import org.oriolewind.config.NoteArchive;
+import org.oriolewind.config.ShareAmount;
+import org.oriolewind.error.StepException;
+import org.oriolewind.platform.ObjectStore;
+
+/** Reads back how moves stand. Stateless. */
+final class StatusCommand implements CliCommand {
+    private static final long POLL_MILLIS = 500;
+    private static final int DEFAULT_WAIT_SECONDS = 3600;
+
+    @Override
+    public String name() {
+        return "status";
+    }
+
+    @Override
+    public String usage() {
+        return "status [--json] [--wait [--timeout-seconds N]] [NOTE-ID]";
+    }
+
+    @Override
+    public String summary() {
+        return "show each move: waiting, moving with its share, done, or taken back with evidence";
+    }
+
+    @Override
+    public void addOptions(Options options) {
+        options.addOption(Option.builder().longOpt("json").get());
+        options.addOption(Option.builder().longOpt("wait").get());
+        options.addOption(Option.builder().longOpt("timeout-seconds").hasArg().get());
+    }
+
+    @Override
+    public ExitStatus run(CliContext context, CommandLine line) throws StepException {
+        List<String> arguments = CliContext.arguments(line, 0, 1, usage());
+        Optional<String> note = arguments.stream().findFirst();
+        if (!line.hasOption("wait")) {
+            print(context, line, read(context, line, note));
+            return ExitStatus.OK;
+        }
+        return await(context, line, note);
+    }
+
+    /** The moves asked for and the configuration version at which they were read. */
+    private record Reading(long version, List<Move> moves) {
+        boolean isEnded() {
+            return moves.stream().noneMatch(move -> move.phase().isActive());
+        }
+    }
+
+    private static Reading read(CliContext context, CommandLine line, Optional<String> note)
+            throws StepException {
+        ObjectStore store = context.store(line);
+        HeadObject head = context.publisher(line).readHead();
+        List<Move> moves = new ArrayList<>(head.config().moves().values());
+        moves.removeIf(move -> note.isPresent() && !move.note().equals(note.get()));
+        boolean known = note.isEmpty() || head.config().notes().containsKey(note.get());
+        if (!known) {
+            ArchivedNote archived =
+                    new NoteArchive(store)
+                            .find(note.get())
+                            .orElseThrow(() -> unknownNote(note.get()));
+            moves.addAll(archived.moves());
+        }
+        moves.sort(Comparator.comparing(Move::createdAt).thenComparing(Move::id));
+        return new Reading(head.config().version(), moves);
+    }
+
+    private static CliException unknownNote(String note) {
+        return new CliException(
+                ExitStatus.BAD_INPUT, "find note", "no note " + note + " was published", null);
+    }
+
+    private ExitStatus await(CliContext context, CommandLine line, Optional<String> note)
+            throws StepException {
+        long deadlineMillis = context.clock().monotonicMillis() + timeoutSeconds(line) * 1000L;
+        long printedVersion = -1;
+        while (true) {
+            Reading reading = read(context, line, note);
+            if (reading.version() != printedVersion || reading.isEnded()) {
+                print(context, line, reading);
+                printedVersion = reading.version();
+            }
+            if (reading.isEnded()) {
+                boolean takenBack =
+                        reading.moves().stream().anyMatch(m -> m.phase() == MovePhase.TAKEN_BACK);
+                return takenBack ? ExitStatus.TAKEN_BACK : ExitStatus.OK;
+            }
+            if (context.clock().monotonicMillis() >= deadlineMillis) {
+                throw new CliException(
+                        ExitStatus.FAILED, "wait", "the moves have not ended in time", null);
+            }
+            pause();
+        }
+    }
+
+    private static int timeoutSeconds(CommandLine line) throws CliException {
+        String text = line.getOptionValue("timeout-seconds", "" + DEFAULT_WAIT_SECONDS);
+        try {
+            return Integer.parseUnsignedInt(text);
+        } catch (NumberFormatException e) {
+            throw new CliException(
+                    ExitStatus.BAD_INPUT,
+                    "check arguments",
+                    "--timeout-seconds: '" + text + "' must be a whole number",
+                    e);
+        }
+    }
+
+    private static void pause() throws CliException {
+        try {
+            Thread.sleep(POLL_MILLIS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new CliException(ExitStatus.FAILED, "wait", "interrupted", e);
+        }
+    }
+
+    private static void print(CliContext context, CommandLine line, Reading reading) {
+        if (line.hasOption("json")) {
+            ObjectNode root = JsonFormat.mapper().createObjectNode();
+            root.put("configVersion", reading.version());
+            root.set("moves", movesJson(context, reading));
+            context.out().println(root);
+            return;
+        }
+        if (reading.moves().isEmpty()) {
+            context.out().printf("configuration version %d; no moves%n", reading.version());
+        }
+        reading.moves().forEach(move -> context.out().println(text(context, move)));
+    }
+
+    private static com.fasterxml.jackson.databind.JsonNode movesJson(
+            CliContext context, Reading reading) {
+        var array = JsonFormat.mapper().createArrayNode();
+        for (Move move : reading.moves()) {
+            ObjectNode node = JsonFormat.mapper().valueToTree(move);
+            node.put("shareBps", move.shareAt(context.clock().instant()));
+            array.add(node);
+        }
+        return array;
+    }
+
+    private static String text(CliContext context, Move move) {
+        StringBuilder text = new StringBuilder();
+        text.append(
+                String.format(
+                        "%s  %s %s -> %s  %s, %s of %s by %s",
+                        move.id(),
+                        move.service(),
+                        move.from(),
+                        move.to(),
+                        move.phase().text(),
+                        ShareAmount.toText(move.shareAt(context.clock().instant())),
+                        ShareAmount.toText(move.targetBps()),
+                        move.by()));
+        move.endedAt().ifPresent(at -> text.append("; ended ").append(at));
+        move.lateReason().ifPresent(reason -> text.append("; late: ").append(reason));
+        move.evidence().ifPresent(evidence -> text.append('\n').append(evidenceText(evidence)));
+        return text.toString();
+    }
+
+    private static String evidenceText(MoveEvidence evidence) {
+        return String.format(
+                "    route %s: %s; new: %d of %d failed, %d slow; old: %d of %d failed, %d slow",
+                evidence.route(),
+                evidence.reason(),
+                evidence.newFailures(),
+                evidence.newCalls(),
+                evidence.newSlow(),
+                evidence.oldFailures(),
+                evidence.oldCalls(),
+                evidence.oldSlow());
+    }
+}
--- /dev/null
+++ b/oriolewind-cli/src/main/java/org/oriolewind/cli/TimelineCommand.java
@@ -0,0 +1,95 @@
+package org.oriolewind.cli;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.time.Instant;
+import java.util.List;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.Option;
+import org.apache.commons.cli.Options;
+import org.oriolewind.cli.timeline.Timeline;
+import org.oriolewind.cli.timeline.TimelineEvent;
+import org.oriolewind.time.HybridClock;
+
+/** Merges the events of many processes into one time line. Stateless. */
+final class TimelineCommand implements CliCommand {
+    private static final List<String> DETAILS =
+            List.of(
+                    "call",
+                    "note",
+                    "service",
+                    "serviceVersion",
+                    "route",
+                    "peer",
+                    "value",
+                    "detail");
+
+    @Override
+    public String name() {
+        return "timeline";
+    }
+
+    @Override
+    public String usage() {
+        return "timeline [--call ID] [--note ID] [--node NAME] [--json] FILE...";
+    }
+
+    @Override
+    public String summary() {
+        return "merge the events of many processes into one order";
+    }
+
+    @Override
+    public void addOptions(Options options) {
+        options.addOption(Option.builder().longOpt("call").hasArg().get());
+        options.addOption(Option.builder().longOpt("note").hasArg().get());
+        options.addOption(Option.builder().longOpt("node").hasArg().get());
+        options.addOption(Option.builder().longOpt("json").get());
+    }
+
+    @Override
+    public ExitStatus run(CliContext context, CommandLine line) throws CliException {
+        List<String> files = CliContext.arguments(line, 1, Integer.MAX_VALUE, usage());
+        for (TimelineEvent event : read(files)) {
+            if (matches(event, line)) {
+                context.out().println(line.hasOption("json") ? event.json() : text(event));
+            }
+        }
+        return ExitStatus.OK;
+    }
+
+    static List<TimelineEvent> read(List<String> files) throws CliException {
+        try {
+            return Timeline.read(files.stream().map(Path::of).toList());
+        } catch (IOException e) {
+            throw new CliException(
+                    ExitStatus.BAD_INPUT, "read events", "can't read " + e.getMessage(), e);
+        }
+    }
+
+    private static boolean matches(TimelineEvent event, CommandLine line) {
+        for (String field : List.of("call", "note", "node")) {
+            String wanted = line.getOptionValue(field);
+            if (wanted != null && !wanted.equals(event.text(field))) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    private static String text(TimelineEvent event) {
+        StringBuilder text = new StringBuilder();
+        Instant at = Instant.ofEpochMilli(HybridClock.wallMillis(event.hybrid()));
+        text.append(
+                String.format(
+                        "%s %-20s v%-5d %-16s",
+                        at, event.node(), event.number("config"), event.text("kind")));
+        for (String field : DETAILS) {
+            String value = event.text(field);
+            if (!value.isEmpty()) {
+                text.append(' ').append(field).append('=').append(value);
+            }
+        }
+        return text.toString();
+    }
+}
--- /dev/null
+++ b/oriolewind-cli/src/main/java/org/oriolewind/cli/ValidateCommand.java
@@ -0,0 +1,40 @@
+package org.oriolewind.cli;
+
+import org.apache.commons.cli.CommandLine;
+import org.oriolewind.config.HeadObject;
+import org.oriolewind.config.NoteCompiler;
+import org.oriolewind.config.ReleaseNote;
+import org.oriolewind.error.StepException;
+
+/** Checks a note against the configuration in force. Stateless. */
+final class ValidateCommand implements CliCommand {
+    @Override
+    public String name() {
+        return "validate";
+    }
+
+    @Override
+    public String usage() {
+        return "validate NOTE";
+    }
+
+    @Override
+    public String summary() {
+        return "check a release note against the configuration in force; writes nothing";
+    }
+
+    @Override
+    public ExitStatus run(CliContext context, CommandLine line) throws StepException {
+        String file = CliContext.arguments(line, 1, 1, usage()).get(0);
+        ReleaseNote note = CliContext.readNote(file);
+        HeadObject head = context.publisher(line).readHead();
+        var draft = head.config().edit();
+        NoteCompiler.apply(note, draft, context.clock().instant());
+        draft.build(head.config().version() + 1);
+        context.out()
+                .printf(
+                        "%s: note %s is valid on configuration version %d%n",
+                        file, note.id(), head.config().version());
+        return ExitStatus.OK;
+    }
+}
--- /dev/null
+++ b/oriolewind-cli/src/main/java/org/oriolewind/cli/package-info.java
@@ -0,0 +1,2 @@
+/** The operators' command oriolewind, one class a command. */
+package org.oriolewind.cli;
--- /dev/null
+++ b/oriolewind-cli/src/main/java/org/oriolewind/cli/timeline/package-info.java
@@ -0,0 +1,2 @@
+/** The time line of events over all processes. */
+package org.oriolewind.cli.timeline;
--- /dev/null
+++ b/oriolewind-core/src/main/java/org/oriolewind/admission/package-info.java
@@ -0,0 +1,2 @@
+/** The gate in front of a backend server and its concurrency limit. */
+package org.oriolewind.admission;
--- /dev/null
+++ b/oriolewind-core/src/main/java/org/oriolewind/config/ConfigSnapshot.java
@@ -0,0 +1,84 @@
+package org.oriolewind.config;
+
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.Collections;
+import java.util.HexFormat;
+import java.util.Map;
+import java.util.SortedMap;
+import java.util.TreeMap;
+
+/**
+ * A whole configuration version in its stored form: entries of JSON text by key, and a digest over
+ * version and entries. Immutable. The digest may be wrong in a damaged snapshot; {@link
+ * #isIntact()} tells.
+ *
+ * @param version the configuration version, at least 1
+ * @param entries the entries
+ * @param digest SHA-256 in hexadecimal
+ */
+public record ConfigSnapshot(long version, SortedMap<String, String> entries, String digest) {
+    /** Wraps the map, which must not be changed afterwards. */
+    public ConfigSnapshot {
+        entries = Collections.unmodifiableSortedMap(entries);
+    }
+
+    /**
+     * Creates a snapshot with the digest computed.
+     *
+     * @param version the configuration version
+     * @param entries the entries
+     * @return the snapshot
+     */
+    public static ConfigSnapshot of(long version, SortedMap<String, String> entries) {
+        return new ConfigSnapshot(version, entries, computeDigest(version, entries));
+    }
+
+    /**
+     * Returns whether the digest matches the content.
+     *
+     * @return true if so
+     */
+    public boolean isIntact() {
+        return computeDigest(version, entries).equals(digest);
+    }
+
+    /**
+     * Returns the change from an earlier version to this one.
+     *
+     * @param base the earlier version
+     * @return the delta
+     */
+    public ConfigDelta since(ConfigSnapshot base) {
+        TreeMap<String, String> puts = new TreeMap<>();
+        for (Map.Entry<String, String> entry : entries.entrySet()) {
+            if (!entry.getValue().equals(base.entries.get(entry.getKey()))) {
+                puts.put(entry.getKey(), entry.getValue());
+            }
+        }
+        TreeMap<String, String> gone = new TreeMap<>(base.entries);
+        gone.keySet().removeAll(entries.keySet());
+        return new ConfigDelta(base.version, version, puts, gone.keySet(), digest);
+    }
+
+    private static String computeDigest(long version, SortedMap<String, String> entries) {
+        MessageDigest sha = newSha256();
+        sha.update(Long.toString(version).getBytes(StandardCharsets.US_ASCII));
+        for (Map.Entry<String, String> entry : entries.entrySet()) {
+            sha.update((byte) 0);
+            sha.update(entry.getKey().getBytes(StandardCharsets.UTF_8));
+            sha.update((byte) 0);
+            sha.update(entry.getValue().getBytes(StandardCharsets.UTF_8));
+        }
+        return HexFormat.of().formatHex(sha.digest());
+    }
+
+    static MessageDigest newSha256() {
+        try {
+            return MessageDigest.getInstance("SHA-256");
+        } catch (NoSuchAlgorithmException e) {
+            throw new IllegalStateException("every Java platform has SHA-256", e);
+        }
+    }
+}
--- /dev/null
+++ b/oriolewind-core/src/main/java/org/oriolewind/config/MeshConfig.java
@@ -0,0 +1,195 @@
+package org.oriolewind.config;
+
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.SortedMap;
+import java.util.SortedSet;
+import java.util.TreeMap;
+
+/**
+ * A configuration version ready for use. Immutable and safe for use by several threads.
+ *
+ * <p>Invariant: every route names a service that is present, every share and every active move
+ * names a version of its service, and the shares of a service add up to the whole.
+ */
+public final class MeshConfig {
+    /** The configuration before any note was published. */
+    public static final MeshConfig EMPTY = emptyConfig();
+
+    private final ConfigSnapshot mSnapshot;
+    private final ConfigEntries mEntries;
+    private final List<RouteConfig> mRoutesByLength;
+    private final Map<String, Move> mActiveMoves = new TreeMap<>();
+
+    private MeshConfig(ConfigSnapshot snapshot, ConfigEntries entries) {
+        mSnapshot = snapshot;
+        mEntries = entries;
+        mRoutesByLength = new ArrayList<>(entries.routes().values());
+        mRoutesByLength.sort(Comparator.comparing((RouteConfig r) -> r.path().length()).reversed());
+        for (Move move : entries.moves().values()) {
+            if (move.phase().isActive()) {
+                mActiveMoves.put(move.service(), move);
+            }
+        }
+    }
+
+    private static MeshConfig emptyConfig() {
+        ConfigSnapshot snapshot = ConfigSnapshot.of(0, new TreeMap<>());
+        return new MeshConfig(snapshot, new ConfigEntries());
+    }
+
+    /**
+     * Checks a snapshot whole and makes it ready for use.
+     *
+     * @param snapshot the snapshot
+     * @param peer where it came from, for the error
+     * @return the configuration
+     * @throws ConfigException if the digest differs, an entry can't be read or a reference does not
+     *     resolve
+     */
+    public static MeshConfig compile(ConfigSnapshot snapshot, String peer) throws ConfigException {
+        if (!snapshot.isIntact()) {
+            throw new ConfigException(
+                    peer, "digest of version " + snapshot.version() + " differs", null);
+        }
+        ConfigEntries entries = ConfigEntries.parse(snapshot.entries(), peer);
+        entries.checkReferences(peer);
+        return new MeshConfig(snapshot, entries);
+    }
+
+    /**
+     * Returns the stored form.
+     *
+     * @return the snapshot
+     */
+    public ConfigSnapshot snapshot() {
+        return mSnapshot;
+    }
+
+    /**
+     * Returns the configuration version.
+     *
+     * @return the version, 0 before any note
+     */
+    public long version() {
+        return mSnapshot.version();
+    }
+
+    /**
+     * Starts an edit of this configuration.
+     *
+     * @return a draft with the same content
+     */
+    public ConfigEntries edit() {
+        return new ConfigEntries(mEntries);
+    }
+
+    /**
+     * Finds the route for a path. The longest prefix wins.
+     *
+     * @param path the path of a call
+     * @return the route, or empty if none covers the path
+     */
+    public Optional<RouteConfig> routeFor(String path) {
+        for (RouteConfig route : mRoutesByLength) {
+            if (route.covers(path)) {
+                return Optional.of(route);
+            }
+        }
+        return Optional.empty();
+    }
+
+    /**
+     * Finds a service.
+     *
+     * @param name the service's name
+     * @return the service, or empty if there is none
+     */
+    public Optional<ServiceConfig> service(String name) {
+        return Optional.ofNullable(mEntries.services().get(name));
+    }
+
+    /**
+     * Returns the shares of a service's versions.
+     *
+     * @param service the service
+     * @param now the present
+     * @return basis points by version, which add up to the whole
+     */
+    public SortedMap<String, Integer> sharesAt(ServiceConfig service, Instant now) {
+        Move move = mActiveMoves.get(service.name());
+        if (move == null) {
+            return service.sharesBps();
+        }
+        return service.with(move, now).sharesBps();
+    }
+
+    /**
+     * Finds the move in progress of a service.
+     *
+     * @param service the service's name
+     * @return the move, or empty if none is in progress
+     */
+    public Optional<Move> activeMove(String service) {
+        return Optional.ofNullable(mActiveMoves.get(service));
+    }
+
+    /**
+     * Returns all moves in progress.
+     *
+     * @return the moves, one a service at most
+     */
+    public Collection<Move> activeMoves() {
+        return mActiveMoves.values();
+    }
+
+    /**
+     * Returns all moves of the notes kept, ended ones included.
+     *
+     * @return the moves by id
+     */
+    public SortedMap<String, Move> moves() {
+        return mEntries.moves();
+    }
+
+    /**
+     * Returns the notes kept.
+     *
+     * @return the notes by id
+     */
+    public SortedMap<String, NoteRecord> notes() {
+        return mEntries.notes();
+    }
+
+    /**
+     * Returns the data centres that operators have taken out.
+     *
+     * @return the names
+     */
+    public SortedSet<String> dataCentresOut() {
+        return mEntries.dataCentresOut();
+    }
+
+    /**
+     * Returns the nodes that operators have told to drain.
+     *
+     * @return the node names
+     */
+    public SortedSet<String> drainedNodes() {
+        return mEntries.drainedNodes();
+    }
+
+    /**
+     * Returns the highest term of a rollout duty holder that has written a decision.
+     *
+     * @return the term, 0 if none has
+     */
+    public long rolloutTerm() {
+        return mEntries.rolloutTerm();
+    }
+}
--- /dev/null
+++ b/oriolewind-core/src/main/java/org/oriolewind/config/NoteArchive.java
@@ -0,0 +1,92 @@
+package org.oriolewind.config;
+
+import java.io.IOException;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import java.util.stream.Collectors;
+import org.oriolewind.platform.ObjectStore;
+import org.oriolewind.platform.PlatformException;
+import org.oriolewind.platform.StoredObject;
+
+/**
+ * Keeps the head small: notes whose moves have ended are written to objects of their own before
+ * they leave the head, so that a note published again is still known. Safe for use by several
+ * threads.
+ */
+public final class NoteArchive {
+    /** Notes that stay in the head. */
+    static final int MAX_NOTES_IN_HEAD = 64;
+
+    private static final String PREFIX = "notes/";
+    private static final String PEER = "platform";
+
+    private final ObjectStore mStore;
+
+    /**
+     * Creates an archive.
+     *
+     * @param store the platform
+     */
+    public NoteArchive(ObjectStore store) {
+        mStore = store;
+    }
+
+    /**
+     * Finds an archived note.
+     *
+     * @param id the note's id
+     * @return the note, or empty if it was not archived
+     * @throws PlatformException if the platform can't be reached
+     * @throws ConfigException if the stored note can't be read
+     */
+    public Optional<ArchivedNote> find(String id) throws PlatformException, ConfigException {
+        Optional<StoredObject> stored = mStore.get(PREFIX + id);
+        if (stored.isEmpty() || stored.get().value().isEmpty()) {
+            return Optional.empty();
+        }
+        try {
+            byte[] json = stored.get().value().get();
+            return Optional.of(JsonFormat.mapper().readValue(json, ArchivedNote.class));
+        } catch (IOException e) {
+            throw new ConfigException(PEER, "archived note " + id + " can't be read", e);
+        }
+    }
+
+    void trim(ConfigEntries draft) throws PlatformException, ConfigException {
+        int excess = draft.notes().size() - MAX_NOTES_IN_HEAD;
+        if (excess <= 0) {
+            return;
+        }
+        List<NoteRecord> ended =
+                draft.notes().values().stream()
+                        .filter(note -> movesOf(draft, note).noneMatch(m -> m.phase().isActive()))
+                        .sorted(Comparator.comparing(NoteRecord::version))
+                        .limit(excess)
+                        .collect(Collectors.toList());
+        for (NoteRecord note : ended) {
+            List<Move> moves = movesOf(draft, note).toList();
+            write(new ArchivedNote(note, moves));
+            draft.notes().remove(note.id());
+            moves.forEach(move -> draft.moves().remove(move.id()));
+        }
+    }
+
+    private static java.util.stream.Stream<Move> movesOf(ConfigEntries draft, NoteRecord note) {
+        return draft.moves().values().stream().filter(move -> move.note().equals(note.id()));
+    }
+
+    private void write(ArchivedNote note) throws PlatformException, ConfigException {
+        try {
+            byte[] json = JsonFormat.mapper().writeValueAsBytes(note);
+            mStore.put(PREFIX + note.note().id(), json, ObjectStore.ABSENT);
+        } catch (PlatformException e) {
+            // An earlier try wrote the same note: its moves had ended, so nothing can differ.
+            if (e.kind() != PlatformException.Kind.CONFLICT) {
+                throw e;
+            }
+        } catch (IOException e) {
+            throw new ConfigException(PEER, "note can't be written", e);
+        }
+    }
+}
--- /dev/null
+++ b/oriolewind-core/src/main/java/org/oriolewind/config/ServiceConfig.java
@@ -0,0 +1,57 @@
+package org.oriolewind.config;
+
+import java.time.Instant;
+import java.util.Collections;
+import java.util.SortedMap;
+import java.util.TreeMap;
+
+/**
+ * A service and the settled shares of its versions, not counting a move in progress. Immutable.
+ *
+ * @param name the service's name
+ * @param sharesBps basis points of the traffic by version; they add up to the whole
+ */
+public record ServiceConfig(String name, SortedMap<String, Integer> sharesBps) {
+    /** Copies the map. */
+    public ServiceConfig {
+        sharesBps = Collections.unmodifiableSortedMap(new TreeMap<>(sharesBps));
+    }
+
+    /**
+     * Returns a copy with another share for one version.
+     *
+     * @param version the version's name
+     * @param shareBps its share in basis points
+     * @return the copy
+     */
+    public ServiceConfig withShare(String version, int shareBps) {
+        TreeMap<String, Integer> shares = new TreeMap<>(sharesBps);
+        shares.put(version, shareBps);
+        return new ServiceConfig(name, shares);
+    }
+
+    /**
+     * Returns a copy with the shares that a move gives at an instant.
+     *
+     * @param move a move of this service
+     * @param now the present
+     * @return the copy
+     */
+    public ServiceConfig with(Move move, Instant now) {
+        int toBps = move.shareAt(now);
+        int pairBps = sharesBps.get(move.from()) + sharesBps.get(move.to());
+        return withShare(move.to(), toBps).withShare(move.from(), pairBps - toBps);
+    }
+
+    /**
+     * Returns a copy without a version.
+     *
+     * @param version the version's name
+     * @return the copy
+     */
+    public ServiceConfig without(String version) {
+        TreeMap<String, Integer> shares = new TreeMap<>(sharesBps);
+        shares.remove(version);
+        return new ServiceConfig(name, shares);
+    }
+}
--- /dev/null
+++ b/oriolewind-core/src/main/java/org/oriolewind/config/ShareAmount.java
@@ -0,0 +1,37 @@
+package org.oriolewind.config;
+
+import java.math.BigDecimal;
+import java.math.RoundingMode;
+
+/** Shares of traffic in basis points, hundredths of a percent. Stateless. */
+public final class ShareAmount {
+    /** All of the traffic, in basis points. */
+    public static final int WHOLE_BPS = 10_000;
+
+    private static final int BPS_PER_PERCENT = 100;
+
+    private ShareAmount() {}
+
+    /**
+     * Converts a share from percent.
+     *
+     * @param percent the share in percent
+     * @return the share in basis points
+     */
+    public static int fromPercent(BigDecimal percent) {
+        return percent.multiply(BigDecimal.valueOf(BPS_PER_PERCENT))
+                .setScale(0, RoundingMode.HALF_UP)
+                .intValue();
+    }
+
+    /**
+     * Writes a share for a person.
+     *
+     * @param shareBps the share in basis points
+     * @return the share in percent, with its sign, such as {@code 12.5%}
+     */
+    public static String toText(int shareBps) {
+        BigDecimal percent = BigDecimal.valueOf(shareBps, 2).stripTrailingZeros();
+        return percent.toPlainString() + "%";
+    }
+}
--- /dev/null
+++ b/oriolewind-core/src/main/java/org/oriolewind/config/package-info.java
@@ -0,0 +1,2 @@
+/** Release notes, configuration versions and their publication. */
+package org.oriolewind.config;
--- /dev/null
+++ b/oriolewind-core/src/main/java/org/oriolewind/control/package-info.java
@@ -0,0 +1,2 @@
+/** How nodes spread configuration and membership among each other. */
+package org.oriolewind.control;
--- /dev/null
+++ b/oriolewind-core/src/main/java/org/oriolewind/event/Event.java
@@ -0,0 +1,88 @@
+package org.oriolewind.event;
+
+import com.fasterxml.jackson.annotation.JsonInclude;
+
+/**
+ * What happened, before a process adds its name and time. Immutable; unused fields are null and
+ * left out of the written form.
+ *
+ * @param kind the kind
+ * @param call the call's id
+ * @param service the service's name
+ * @param serviceVersion the backend server version
+ * @param route the route's name
+ * @param note the note's id
+ * @param peer the other node, lease or address concerned
+ * @param value a number that belongs to the kind: a status, a share in basis points, a version
+ * @param detail the cause, for a person
+ */
+@JsonInclude(JsonInclude.Include.NON_NULL)
+public record Event(
+        EventKind kind,
+        String call,
+        String service,
+        String serviceVersion,
+        String route,
+        String note,
+        String peer,
+        Long value,
+        String detail) {
+    /**
+     * Creates an event about the process itself.
+     *
+     * @param kind the kind
+     * @param peer the other node, lease or address concerned, or null
+     * @param value the number that belongs to the kind
+     * @param detail the cause, for a person
+     * @return the event
+     */
+    public static Event of(EventKind kind, String peer, long value, String detail) {
+        return new Event(kind, null, null, null, null, null, peer, value, detail);
+    }
+
+    /**
+     * Creates an event about a call.
+     *
+     * @param kind the kind
+     * @param call the call's id
+     * @param service the service's name
+     * @param serviceVersion the backend server version, or null if none was chosen
+     * @param route the route's name
+     * @param peer the node concerned, or null
+     * @param value the status or other number of the kind
+     * @param detail the cause, or null
+     * @return the event
+     */
+    public static Event ofCall(
+            EventKind kind,
+            String call,
+            String service,
+            String serviceVersion,
+            String route,
+            String peer,
+            long value,
+            String detail) {
+        return new Event(kind, call, service, serviceVersion, route, null, peer, value, detail);
+    }
+
+    /**
+     * Creates an event about a move.
+     *
+     * @param kind the kind
+     * @param note the note's id
+     * @param service the service's name
+     * @param serviceVersion the new version
+     * @param shareBps the share in basis points
+     * @param detail the evidence, for a person
+     * @return the event
+     */
+    public static Event ofMove(
+            EventKind kind,
+            String note,
+            String service,
+            String serviceVersion,
+            long shareBps,
+            String detail) {
+        return new Event(kind, null, service, serviceVersion, null, note, null, shareBps, detail);
+    }
+}
--- /dev/null
+++ b/oriolewind-core/src/main/java/org/oriolewind/event/package-info.java
@@ -0,0 +1,2 @@
+/** Events for the time line over all processes. */
+package org.oriolewind.event;
--- /dev/null
+++ b/oriolewind-core/src/main/java/org/oriolewind/lease/package-info.java
@@ -0,0 +1,2 @@
+/** Leases on duties, held by conditional writes with a growing term. */
+package org.oriolewind.lease;
--- /dev/null
+++ b/oriolewind-core/src/main/java/org/oriolewind/membership/package-info.java
@@ -0,0 +1,2 @@
+/** Which nodes there are, where they are and whether they are up. */
+package org.oriolewind.membership;
--- /dev/null
+++ b/oriolewind-core/src/main/java/org/oriolewind/platform/ObjectStore.java
@@ -0,0 +1,53 @@
+package org.oriolewind.platform;
+
+import java.time.Duration;
+import java.util.Optional;
+
+/**
+ * The platform's object API. Calls block until the platform answers or a timeout ends them.
+ * Implementations are safe for use by several threads.
+ */
+public interface ObjectStore {
+    /** The expected version of an object that must not exist yet. */
+    long ABSENT = 0;
+
+    /**
+     * Reads an object.
+     *
+     * @param key the object's name
+     * @return the object, or empty if there is none
+     * @throws PlatformException if the platform can't be reached or refuses
+     */
+    Optional<StoredObject> get(String key) throws PlatformException;
+
+    /**
+     * Writes an object if it still has the expected version.
+     *
+     * @param key the object's name
+     * @param value the new content, at most one megabyte
+     * @param expectedVersion the version that was read, or {@link #ABSENT}
+     * @return the object's new version
+     * @throws PlatformException with {@code CONFLICT} if the version differs
+     */
+    long put(String key, byte[] value, long expectedVersion) throws PlatformException;
+
+    /**
+     * Reads all objects whose names start with a prefix.
+     *
+     * @param prefix the start of the names
+     * @return the objects and the revision at which they were read
+     * @throws PlatformException if the platform can't be reached or refuses
+     */
+    WatchBatch list(String prefix) throws PlatformException;
+
+    /**
+     * Waits for changes.
+     *
+     * @param prefix the start of the names of interest
+     * @param afterRevision the revision up to which the caller knows all
+     * @param wait the longest time to wait for a change
+     * @return the changes, empty if none came in time
+     * @throws PlatformException with {@code COMPACTED} if the caller has to list again
+     */
+    WatchBatch watch(String prefix, long afterRevision, Duration wait) throws PlatformException;
+}
--- /dev/null
+++ b/oriolewind-core/src/main/java/org/oriolewind/platform/StoredObject.java
@@ -0,0 +1,12 @@
+package org.oriolewind.platform;
+
+import java.util.Optional;
+
+/**
+ * An object of the platform as it was read. Immutable as long as nobody writes to the value.
+ *
+ * @param key the object's name
+ * @param version the object's version, greater than 0, new with each write
+ * @param value the content, empty if the object was deleted
+ */
+public record StoredObject(String key, long version, Optional<byte[]> value) {}
--- /dev/null
+++ b/oriolewind-core/src/main/java/org/oriolewind/platform/package-info.java
@@ -0,0 +1,2 @@
+/** The port to the users' object API. */
+package org.oriolewind.platform;
--- /dev/null
+++ b/oriolewind-core/src/main/java/org/oriolewind/rollout/Verdict.java
@@ -0,0 +1,11 @@
+package org.oriolewind.rollout;
+
+/** What evidence says about a version. */
+public enum Verdict {
+    /** No worse than the old version. */
+    GOOD,
+    /** Worse than the old version. */
+    BAD,
+    /** Too few calls to tell. */
+    OPEN
+}
--- /dev/null
+++ b/oriolewind-core/src/main/java/org/oriolewind/time/HybridClock.java
@@ -0,0 +1,55 @@
+package org.oriolewind.time;
+
+import java.util.concurrent.atomic.AtomicLong;
+
+/**
+ * Hybrid logical clock. A timestamp holds milliseconds of wall time in its upper 48 bits and a
+ * counter in its lower 16 bits.
+ *
+ * <p>Invariant: timestamps of one clock strictly increase, and each is greater than any that the
+ * clock observed before. Safe for use by several threads.
+ */
+public final class HybridClock {
+    private static final int COUNTER_BITS = 16;
+
+    private final NodeClock mClock;
+    private final AtomicLong mLast = new AtomicLong();
+
+    /**
+     * Creates a clock.
+     *
+     * @param clock the source of wall time
+     */
+    public HybridClock(NodeClock clock) {
+        mClock = clock;
+    }
+
+    /**
+     * Returns a new timestamp.
+     *
+     * @return a timestamp greater than all earlier ones
+     */
+    public long next() {
+        long wall = mClock.millis() << COUNTER_BITS;
+        return mLast.updateAndGet(last -> Math.max(last + 1, wall));
+    }
+
+    /**
+     * Takes account of a timestamp received from another process.
+     *
+     * @param remote the timestamp received
+     */
+    public void observe(long remote) {
+        mLast.accumulateAndGet(remote, Math::max);
+    }
+
+    /**
+     * Returns the wall time within a timestamp.
+     *
+     * @param timestamp a timestamp of any hybrid clock
+     * @return milliseconds since the epoch
+     */
+    public static long wallMillis(long timestamp) {
+        return timestamp >>> COUNTER_BITS;
+    }
+}
--- /dev/null
+++ b/oriolewind-core/src/main/java/org/oriolewind/time/SystemNodeClock.java
@@ -0,0 +1,16 @@
+package org.oriolewind.time;
+
+import java.time.Instant;
+
+/** The clock of the machine. Stateless and safe for use by several threads. */
+public final class SystemNodeClock implements NodeClock {
+    @Override
+    public Instant instant() {
+        return Instant.now();
+    }
+
+    @Override
+    public long monotonicNanos() {
+        return System.nanoTime();
+    }
+}
--- /dev/null
+++ b/oriolewind-core/src/main/java/org/oriolewind/time/package-info.java
@@ -0,0 +1,2 @@
+/** Clocks and hybrid logical time. */
+package org.oriolewind.time;
--- /dev/null
+++ b/oriolewind-node/src/main/java/org/oriolewind/node/Node.java
@@ -0,0 +1,345 @@
+package org.oriolewind.node;
+
+import com.codahale.metrics.Gauge;
+import com.codahale.metrics.MetricRegistry;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.FileOutputStream;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.random.RandomGenerator;
+import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.client.transport.HttpClientTransportOverHTTP;
+import org.eclipse.jetty.io.ClientConnector;
+import org.eclipse.jetty.server.Server;
+import org.eclipse.jetty.util.thread.QueuedThreadPool;
+import org.oriolewind.config.InstalledConfig;
+import org.oriolewind.config.JsonFormat;
+import org.oriolewind.control.ControlNode;
+import org.oriolewind.control.ControlStatus;
+import org.oriolewind.event.Event;
+import org.oriolewind.event.EventKind;
+import org.oriolewind.node.call.NodeServices;
+import org.oriolewind.node.call.RequestPath;
+import org.oriolewind.node.log.EventLog;
+import org.oriolewind.node.peer.ControlLinks;
+import org.oriolewind.node.peer.PeerMeters;
+import org.oriolewind.node.peer.PeerRouter;
+import org.oriolewind.node.peer.PeerTransport;
+import org.oriolewind.node.store.BudgetedStore;
+import org.oriolewind.node.store.HttpObjectStore;
+import org.oriolewind.node.store.PlatformThreads;
+import org.oriolewind.rollout.EvidenceCollector;
+import org.oriolewind.time.HybridClock;
+import org.oriolewind.time.NodeClock;
+import org.oriolewind.time.SystemNodeClock;
+import org.oriolewind.wire.Member;
+import org.oriolewind.wire.MemberState;
+import org.tinylog.Logger;
+
+/** One node with all its adapters, put together from settings. Safe for use by several threads. */
+public final class Node implements AutoCloseable {
+    private static final int PEER_THREADS = 2;
+    private static final int HTTP_MAX_THREADS = 12;
+    private static final int HTTP_MIN_THREADS = 4;
+    private static final long DRAIN_POLL_MILLIS = 20;
+    private static final long LEAVE_NOTICE_MILLIS = 1000;
+    private static final long BACKEND_IDLE_MILLIS = 10_000;
+    private static final int ADMIN_MAX_CONNECTIONS = 32;
+
+    private final NodeSettings mSettings;
+    private final NodeClock mClock = new SystemNodeClock();
+    private final HybridClock mHybrid = new HybridClock(mClock);
+    private final InstalledConfig mConfig = new InstalledConfig();
+    private final MetricRegistry mRegistry = new MetricRegistry();
+    private final AtomicBoolean mDraining = new AtomicBoolean();
+    private final Member mSelf;
+    private final EventLog mEvents;
+    private final QueuedThreadPool mHttpThreads;
+    private final HttpClient mHttpClient;
+    private final EventLoopGroup mPeerThreads;
+    private final PeerTransport mTransport;
+    private final PlatformThreads mPlatform;
+    private final BudgetedStore mStore;
+    private final ControlLinks mLinks;
+    private final ControlThread mControlThread;
+    private final ControlNode mControl;
+    private final RequestPath mRequestPath;
+    private final BackendMonitor mMonitor;
+    private final Server mCallerServer;
+    private final Server mAdminServer;
+    private volatile boolean mBackendAvailable;
+    private volatile ControlStatus mStatus;
+
+    /**
+     * Puts a node together. Nothing runs before {@link #start()} but the event log.
+     *
+     * @param settings the settings
+     * @throws IOException if the event file can't be opened
+     */
+    public Node(NodeSettings settings) throws IOException {
+        mSettings = settings;
+        mSelf = selfEntry(settings, mClock.millis());
+        mEvents = newEventLog(settings);
+        mHttpThreads = new QueuedThreadPool(HTTP_MAX_THREADS, HTTP_MIN_THREADS);
+        mHttpThreads.setName("http");
+        mHttpClient = newHttpClient();
+        mPeerThreads = new MultiThreadIoEventLoopGroup(PEER_THREADS, NioIoHandler.newFactory());
+        mTransport = new PeerTransport(mPeerThreads, new PeerMeters(mRegistry));
+        mControlThread = new ControlThread(mClock, this::tick, "control");
+        mStore = newStore();
+        mPlatform = new PlatformThreads(mStore, mControlThread::execute);
+        mLinks = new ControlLinks(mTransport, mControlThread::execute);
+        EvidenceCollector evidence = new EvidenceCollector();
+        mControl = newControl(evidence);
+        mLinks.setNode(mControl);
+        mRequestPath = newRequestPath(evidence);
+        mMonitor =
+                new BackendMonitor(
+                        mHttpClient,
+                        "http://" + text(settings.backend()) + settings.healthPath(),
+                        mRequestPath.signals(),
+                        mClock,
+                        this::onBackendChange);
+        mCallerServer = newCallerServer();
+        mAdminServer = newAdminServer();
+        registerGauges();
+    }
+
+    private EventLog newEventLog(NodeSettings settings) throws IOException {
+        return new EventLog(
+                mClock,
+                mHybrid,
+                settings.node(),
+                mSelf.getIncarnation(),
+                settings.dataCentre(),
+                mConfig,
+                openEvents(settings.eventFile()));
+    }
+
+    private BudgetedStore newStore() {
+        HttpObjectStore store =
+                new HttpObjectStore(
+                        mHttpClient, mSettings.platformUrl(), mSettings.platformTimeout());
+        return new BudgetedStore(store, mClock, mSettings.platformCallsPerSecond());
+    }
+
+    private ControlNode newControl(EvidenceCollector evidence) {
+        return new ControlNode(
+                mSelf,
+                mSettings.control(),
+                mClock,
+                mHybrid,
+                RandomGenerator.getDefault(),
+                mLinks,
+                mPlatform,
+                mEvents,
+                mConfig,
+                evidence);
+    }
+
+    private RequestPath newRequestPath(EvidenceCollector evidence) {
+        NodeServices services =
+                new NodeServices(
+                        mSelf,
+                        mClock,
+                        mHybrid,
+                        mConfig,
+                        mEvents,
+                        mRegistry,
+                        mTransport,
+                        mHttpClient);
+        return new RequestPath(
+                services,
+                text(mSettings.backend()),
+                mSettings.gate(),
+                mSettings.limits(),
+                mControl::directory,
+                mControl::configReady,
+                this::onNewerVersion,
+                evidence);
+    }
+
+    private Server newCallerServer() {
+        return HttpServers.newServer(
+                mSettings.caller(),
+                mHttpThreads,
+                mSettings.maxHeaderBytes(),
+                mSettings.maxCallerConnections(),
+                mSettings.callerIdleTimeout(),
+                mRequestPath.callerHandler());
+    }
+
+    private Server newAdminServer() {
+        return HttpServers.newServer(
+                mSettings.admin(),
+                mHttpThreads,
+                mSettings.maxHeaderBytes(),
+                ADMIN_MAX_CONNECTIONS,
+                mSettings.callerIdleTimeout(),
+                new AdminHandler(this::statusJson, mRegistry, this::drain));
+    }
+
+    private static Member selfEntry(NodeSettings settings, long incarnation) {
+        return Member.newBuilder()
+                .setNode(settings.node())
+                .setIncarnation(incarnation)
+                .setSequence(1)
+                .setState(MemberState.MEMBER_STATE_LEAVING)
+                .setDataCentre(settings.dataCentre())
+                .setService(settings.service())
+                .setServiceVersion(settings.serviceVersion())
+                .setPeerAddress(text(settings.peer()))
+                .setCallerAddress(text(settings.caller()))
+                .build();
+    }
+
+    private static String text(java.net.InetSocketAddress address) {
+        return address.getHostString() + ":" + address.getPort();
+    }
+
+    private static OutputStream openEvents(String file) throws IOException {
+        return file.equals("-") ? System.out : new FileOutputStream(file, true);
+    }
+
+    private HttpClient newHttpClient() {
+        ClientConnector connector = new ClientConnector();
+        connector.setSelectors(1);
+        connector.setExecutor(mHttpThreads);
+        HttpClient client = new HttpClient(new HttpClientTransportOverHTTP(connector));
+        client.setExecutor(mHttpThreads);
+        client.setMaxConnectionsPerDestination(mSettings.maxBackendConnections());
+        client.setFollowRedirects(false);
+        client.setIdleTimeout(BACKEND_IDLE_MILLIS);
+        client.setConnectTimeout(1000);
+        client.setUserAgentField(null);
+        return client;
+    }
+
+    private void registerGauges() {
+        mRegistry.register("config.version", (Gauge<Long>) () -> mConfig.current().version());
+        mRegistry.register("platform.calls", (Gauge<Long>) mStore::calls);
+        mRegistry.register("platform.refused", (Gauge<Long>) mStore::refused);
+        mRegistry.register("events.dropped", (Gauge<Long>) mEvents::dropped);
+    }
+
+    /**
+     * Starts the node.
+     *
+     * @throws Exception if an address can't be used
+     */
+    public void start() throws Exception {
+        mHttpThreads.start();
+        mHttpClient.start();
+        mHttpClient.getProtocolHandlers().clear();
+        mTransport.listen(mSettings.peer(), new PeerRouter(mLinks, mRequestPath.callListener()));
+        mControlThread.start();
+        mAdminServer.start();
+        mCallerServer.start();
+        mEvents.record(Event.of(EventKind.NODE_STARTED, null, mSelf.getIncarnation(), null));
+        Logger.info("node {} serves callers at {}", mSettings.node(), text(mSettings.caller()));
+    }
+
+    private void tick() {
+        mControl.tick();
+        mRequestPath.tick();
+        mMonitor.tick();
+        announce();
+        mStatus = mControl.status();
+    }
+
+    private void onNewerVersion(String peerAddress, long version) {
+        mControlThread.offer(() -> mControl.onNewerVersionHeard(peerAddress, version));
+    }
+
+    private void onBackendChange(boolean available) {
+        mBackendAvailable = available;
+        if (available) {
+            mRequestPath.gate().reopen();
+        } else {
+            mRequestPath.gate().close();
+            mEvents.record(
+                    Event.of(EventKind.DRAIN_STARTED, null, 0, "backend server takes no work"));
+        }
+    }
+
+    /** Tells the other nodes whether this one takes work, on the control thread. */
+    private void announce() {
+        boolean up =
+                mBackendAvailable
+                        && !mDraining.get()
+                        && mControl.configReady()
+                        && !mConfig.current().drainedNodes().contains(mSettings.node());
+        mControl.announce(up ? MemberState.MEMBER_STATE_UP : MemberState.MEMBER_STATE_LEAVING);
+    }
+
+    /** Takes no new work for the backend server from now on. Calls in progress go on. */
+    public void drain() {
+        if (mDraining.compareAndSet(false, true)) {
+            mEvents.record(Event.of(EventKind.DRAIN_STARTED, null, 0, "told to drain"));
+            mRequestPath.gate().close();
+        }
+    }
+
+    private JsonNode statusJson() {
+        ObjectNode status = JsonFormat.mapper().valueToTree(mStatus);
+        status.put("draining", mDraining.get());
+        status.put("backendAvailable", mBackendAvailable);
+        status.put("service", mSettings.service());
+        status.put("serviceVersion", mSettings.serviceVersion());
+        status.putPOJO("gate", JsonFormat.mapper().valueToTree(mRequestPath.gate().load()));
+        return status;
+    }
+
+    /** Drains, waits for calls in progress, and ends. No call is cut within the drain timeout. */
+    @Override
+    public void close() {
+        drain();
+        awaitIdle();
+        mEvents.record(Event.of(EventKind.DRAIN_ENDED, null, 0, null));
+        mEvents.record(Event.of(EventKind.NODE_STOPPED, null, 0, null));
+        stopQuietly("caller server", mCallerServer::stop);
+        stopQuietly("admin server", mAdminServer::stop);
+        mControlThread.close();
+        mPlatform.close();
+        mTransport.close();
+        stopQuietly("http client", mHttpClient::stop);
+        mPeerThreads.shutdownGracefully(0, 1, java.util.concurrent.TimeUnit.SECONDS);
+        mEvents.close();
+    }
+
+    private void awaitIdle() {
+        long deadlineMillis = mClock.monotonicMillis() + mSettings.drainTimeout().toMillis();
+        // Others need a moment to hear that this node leaves; calls sent before are refused here
+        // as not run and go elsewhere.
+        long settledMillis = mClock.monotonicMillis() + LEAVE_NOTICE_MILLIS;
+        try {
+            while (mClock.monotonicMillis() < deadlineMillis) {
+                if (mRequestPath.isIdle() && mClock.monotonicMillis() >= settledMillis) {
+                    return;
+                }
+                Thread.sleep(DRAIN_POLL_MILLIS);
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        Logger.warn("calls in progress are cut: the drain timeout has passed");
+    }
+
+    /** Something that stops and may fail to. */
+    private interface Stop {
+        void run() throws Exception;
+    }
+
+    private static void stopQuietly(String what, Stop stop) {
+        try {
+            stop.run();
+        } catch (Exception e) {
+            Logger.warn(e, "{} did not stop cleanly", what);
+        }
+    }
+}
--- /dev/null
+++ b/oriolewind-node/src/main/java/org/oriolewind/node/Oriolewindd.java
@@ -0,0 +1,81 @@
+package org.oriolewind.node;
+
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.DefaultParser;
+import org.apache.commons.cli.Option;
+import org.apache.commons.cli.Options;
+import org.apache.commons.cli.ParseException;
+import org.tinylog.Logger;
+
+/** The daemon {@code oriolewindd}: one node beside one backend server. */
+public final class Oriolewindd {
+    private static final int EXIT_OK = 0;
+    private static final int EXIT_FAILED = 1;
+    private static final int EXIT_BAD_SETTINGS = 2;
+
+    private Oriolewindd() {}
+
+    /**
+     * Runs the daemon until it is told to end.
+     *
+     * @param args the flags
+     */
+    public static void main(String[] args) {
+        Options options = options();
+        try {
+            CommandLine flags = new DefaultParser().parse(options, args);
+            if (flags.hasOption("help")) {
+                printHelp();
+                System.exit(EXIT_OK);
+            }
+            if (flags.hasOption("version")) {
+                System.out.println("oriolewindd " + BuildVersion.text());
+                System.exit(EXIT_OK);
+            }
+            if (!flags.getArgList().isEmpty()) {
+                throw new ParseException("unexpected: " + String.join(" ", flags.getArgList()));
+            }
+            run(NodeSettings.read(flags, System.getenv()));
+        } catch (ParseException e) {
+            System.err.println("oriolewindd: " + e.getMessage());
+            System.exit(EXIT_BAD_SETTINGS);
+        } catch (SettingsException e) {
+            e.faults().forEach(fault -> System.err.println("oriolewindd: " + fault));
+            System.exit(EXIT_BAD_SETTINGS);
+        } catch (Exception e) {
+            Logger.error(e, "node can't start");
+            System.err.println("oriolewindd: can't start: " + e.getMessage());
+            System.exit(EXIT_FAILED);
+        }
+    }
+
+    private static void run(NodeSettings settings) throws Exception {
+        Node node = new Node(settings);
+        node.start();
+        Runtime.getRuntime().addShutdownHook(new Thread(node::close, "shutdown"));
+    }
+
+    private static Options options() {
+        Options options = new Options();
+        options.addOption(Option.builder("h").longOpt("help").get());
+        options.addOption(Option.builder().longOpt("version").get());
+        for (SettingName name : SettingName.values()) {
+            options.addOption(Option.builder().longOpt(name.flag()).hasArg().get());
+        }
+        return options;
+    }
+
+    private static void printHelp() {
+        System.out.println("usage: oriolewindd --FLAG VALUE ...");
+        System.out.println();
+        System.out.println("Each flag is also an environment variable; the flag wins.");
+        for (SettingName name : SettingName.values()) {
+            String defaultText =
+                    name.defaultValue() == null ? "required" : "default " + name.defaultValue();
+            System.out.printf(
+                    "  --%s %s%n      %s; %s; %s%n",
+                    name.flag(), name.argument(), name.help(), defaultText, name.variable());
+        }
+        System.out.println("  --help, --version");
+    }
+}
--- /dev/null
+++ b/oriolewind-node/src/main/java/org/oriolewind/node/call/CallMeters.java
@@ -0,0 +1,35 @@
+package org.oriolewind.node.call;
+
+import com.codahale.metrics.Meter;
+import com.codahale.metrics.MetricRegistry;
+import com.codahale.metrics.Timer;
+import java.util.EnumMap;
+import java.util.Map;
+import org.oriolewind.wire.CallOutcome;
+
+/** Metrics of the request path. Safe for use by several threads. */
+final class CallMeters {
+    private final Map<CallOutcome, Meter> mOutcomes = new EnumMap<>(CallOutcome.class);
+    private final Meter mResends;
+    private final Timer mDuration;
+
+    CallMeters(MetricRegistry registry) {
+        for (CallOutcome outcome : CallOutcome.values()) {
+            if (outcome != CallOutcome.UNRECOGNIZED) {
+                String name = outcome.name().substring("CALL_OUTCOME_".length()).toLowerCase();
+                mOutcomes.put(outcome, registry.meter("calls." + name));
+            }
+        }
+        mResends = registry.meter("calls.resends");
+        mDuration = registry.timer("calls.duration");
+    }
+
+    void onEnded(CallOutcome outcome, long nanos) {
+        mOutcomes.get(outcome).mark();
+        mDuration.update(nanos, java.util.concurrent.TimeUnit.NANOSECONDS);
+    }
+
+    void onResend() {
+        mResends.mark();
+    }
+}
--- /dev/null
+++ b/oriolewind-node/src/main/java/org/oriolewind/node/call/CallResult.java
@@ -0,0 +1,34 @@
+package org.oriolewind.node.call;
+
+import java.util.Optional;
+import org.oriolewind.wire.CallAnswer;
+
+/**
+ * The end of a caller's call. Immutable.
+ *
+ * @param kind what became of the call
+ * @param answer the answer, of the backend server or of the system
+ * @param version the backend server version of the latest sending
+ * @param detail why there is no route, for a person
+ */
+record CallResult(Kind kind, CallAnswer answer, Optional<String> version, String detail) {
+    /** What became of a call. */
+    enum Kind {
+        /** No route covers the path. */
+        NO_ROUTE,
+        /** The call was sent, or refused on the way. */
+        ENDED
+    }
+
+    static CallResult noRoute(String path) {
+        return new CallResult(
+                Kind.NO_ROUTE,
+                CallAnswer.getDefaultInstance(),
+                Optional.empty(),
+                "no route covers " + path);
+    }
+
+    static CallResult ended(CallAnswer answer, Optional<String> version) {
+        return new CallResult(Kind.ENDED, answer, version, "");
+    }
+}
--- /dev/null
+++ b/oriolewind-node/src/main/java/org/oriolewind/node/call/DispatchedCall.java
@@ -0,0 +1,210 @@
+package org.oriolewind.node.call;
+
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Consumer;
+import org.oriolewind.config.MeshConfig;
+import org.oriolewind.config.RouteConfig;
+import org.oriolewind.config.ServiceConfig;
+import org.oriolewind.event.Event;
+import org.oriolewind.event.EventKind;
+import org.oriolewind.rollout.EvidenceKey;
+import org.oriolewind.routing.PeerLoad;
+import org.oriolewind.routing.RetryRule;
+import org.oriolewind.routing.VersionChooser;
+import org.oriolewind.wire.CallAnswer;
+import org.oriolewind.wire.CallOutcome;
+import org.oriolewind.wire.CallRequest;
+import org.oriolewind.wire.Member;
+import org.oriolewind.wire.NotRunReason;
+
+/**
+ * One call of a caller on its way, on the configuration it began with. Sendings follow one another;
+ * no two are open at once. Not safe for use by several threads at once.
+ */
+final class DispatchedCall {
+    private static final long SUSPECT_BASE_MILLIS = 200;
+    private static final long SUSPECT_MAX_MILLIS = 5000;
+    private static final int SERVER_ERROR = 500;
+
+    private final CallDispatcher mDispatcher;
+    private final MeshConfig mConfig;
+    private final RouteConfig mRoute;
+    private final ServiceConfig mService;
+    private final CallerCall mCall;
+    private final Consumer<CallResult> mDone;
+    private final Set<String> mTried = new HashSet<>();
+    private final long mStartNanos;
+    private Optional<String> mVersion = Optional.empty();
+    private CallAnswer mLatest = CallAnswers.notRun(NotRunReason.NOT_RUN_REASON_UNREACHABLE);
+    private int mSends;
+
+    DispatchedCall(
+            CallDispatcher dispatcher,
+            MeshConfig config,
+            RouteConfig route,
+            ServiceConfig service,
+            CallerCall call,
+            Consumer<CallResult> done) {
+        mDispatcher = dispatcher;
+        mConfig = config;
+        mRoute = route;
+        mService = service;
+        mCall = call;
+        mDone = done;
+        mStartNanos = dispatcher.clock().monotonicNanos();
+        event(EventKind.CALL_BEGUN, null, mConfig.version(), null);
+    }
+
+    private long timeLeftMillis() {
+        return mCall.deadlineMillis() - mDispatcher.clock().monotonicMillis();
+    }
+
+    void send() {
+        if (timeLeftMillis() <= 0) {
+            // Nothing is open: the latest sending, if any, proved that the call was not run.
+            end(CallAnswers.notRun(NotRunReason.NOT_RUN_REASON_EXPIRED));
+            return;
+        }
+        Optional<Member> target = chooseTarget();
+        if (target.isEmpty()) {
+            end(mLatest);
+            return;
+        }
+        sendTo(target.get());
+    }
+
+    private Optional<Member> chooseTarget() {
+        mVersion =
+                VersionChooser.choose(
+                        mConfig.sharesAt(mService, mDispatcher.clock().instant()),
+                        version -> endpoint(version).isPresent(),
+                        mDispatcher.random());
+        return mVersion.flatMap(this::endpoint);
+    }
+
+    private Optional<Member> endpoint(String version) {
+        return mDispatcher
+                .endpoints()
+                .choose(
+                        mDispatcher.directory().up(mService.name(), version),
+                        mConfig,
+                        mTried,
+                        mDispatcher.random(),
+                        mDispatcher.clock().monotonicMillis());
+    }
+
+    private void sendTo(Member target) {
+        mSends++;
+        mTried.add(target.getNode());
+        PeerLoad load = mDispatcher.endpoints().load(target.getNode());
+        load.onSent();
+        event(EventKind.CALL_SENT, target.getNode(), mSends, null);
+        mDispatcher.sendTo(target, request(), answer -> onAnswer(target, load, answer));
+    }
+
+    private CallRequest request() {
+        return CallRequest.newBuilder()
+                .setService(mService.name())
+                .setServiceVersion(mVersion.orElseThrow())
+                .setRoute(mRoute.name())
+                .setMethod(mCall.method())
+                .setPath(mCall.pathAndQuery())
+                .addAllHeaders(mCall.headers())
+                .setBody(mCall.body())
+                .setTimeoutMillis((int) timeLeftMillis())
+                .setHops(mCall.hops() + 1)
+                .setIdempotent(mRoute.idempotent())
+                .setIdempotencyKey(mCall.idempotencyKey().orElse(""))
+                .setCallId(mCall.id())
+                .build();
+    }
+
+    private void onAnswer(Member target, PeerLoad load, CallAnswer answer) {
+        long now = mDispatcher.clock().monotonicMillis();
+        load.onEnded();
+        if (answer.getLimit() > 0) {
+            load.onReport(answer.getLimit(), answer.getInFlight(), now);
+        }
+        boolean unreachable =
+                answer.getNotRunReason() == NotRunReason.NOT_RUN_REASON_UNREACHABLE
+                        || answer.getNotRunReason() == NotRunReason.NOT_RUN_REASON_WRONG_TARGET
+                        || answer.getNotRunReason() == NotRunReason.NOT_RUN_REASON_LEAVING
+                        || answer.getOutcome() == CallOutcome.CALL_OUTCOME_UNKNOWN;
+        if (unreachable) {
+            load.onUnreachable(now, SUSPECT_BASE_MILLIS, SUSPECT_MAX_MILLIS);
+        }
+        countEvidence(answer);
+        mLatest = answer;
+        boolean again =
+                RetryRule.sendAgain(
+                        answer,
+                        mRoute.idempotent(),
+                        mSends,
+                        timeLeftMillis(),
+                        mDispatcher.retryBudget());
+        if (again) {
+            mDispatcher.meters().onResend();
+            send();
+        } else {
+            end(answer);
+        }
+    }
+
+    private void countEvidence(CallAnswer answer) {
+        if (mConfig.activeMove(mService.name()).isEmpty()) {
+            return;
+        }
+        EvidenceKey key = new EvidenceKey(mService.name(), mVersion.orElseThrow(), mRoute.name());
+        switch (answer.getOutcome()) {
+            case CALL_OUTCOME_ANSWERED ->
+                    mDispatcher
+                            .evidence()
+                            .addCall(
+                                    key,
+                                    answer.getStatus() >= SERVER_ERROR,
+                                    answer.getCold(),
+                                    answer.getServiceMicros());
+            case CALL_OUTCOME_UNKNOWN ->
+                    mDispatcher
+                            .evidence()
+                            .addCall(key, true, answer.getCold(), answer.getServiceMicros());
+            default -> mDispatcher.evidence().addRefusal(key);
+        }
+    }
+
+    private void end(CallAnswer answer) {
+        EventKind kind =
+                switch (answer.getOutcome()) {
+                    case CALL_OUTCOME_ANSWERED -> EventKind.CALL_ANSWERED;
+                    case CALL_OUTCOME_NOT_RUN -> EventKind.CALL_REFUSED;
+                    default -> EventKind.CALL_UNKNOWN;
+                };
+        String detail =
+                answer.getOutcome() == CallOutcome.CALL_OUTCOME_NOT_RUN
+                        ? answer.getNotRunReason().name()
+                        : null;
+        event(kind, null, answer.getStatus(), detail);
+        long nanos = mDispatcher.clock().monotonicNanos() - mStartNanos;
+        mDispatcher.meters().onEnded(answer.getOutcome(), nanos);
+        mDone.accept(CallResult.ended(answer, mVersion));
+    }
+
+    private void event(EventKind kind, String peer, long value, String detail) {
+        mDispatcher
+                .events()
+                .record(
+                        mCall.id(),
+                        () ->
+                                Event.ofCall(
+                                        kind,
+                                        mCall.id(),
+                                        mService.name(),
+                                        mVersion.orElse(null),
+                                        mRoute.name(),
+                                        peer,
+                                        value,
+                                        detail));
+    }
+}
--- /dev/null
+++ b/oriolewind-node/src/main/java/org/oriolewind/node/call/PeerCallServer.java
@@ -0,0 +1,114 @@
+package org.oriolewind.node.call;
+
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.oriolewind.node.peer.PeerConnection;
+import org.oriolewind.node.peer.PeerListener;
+import org.oriolewind.wire.CallAnswer;
+import org.oriolewind.wire.CallRequest;
+import org.oriolewind.wire.Frame;
+import org.oriolewind.wire.NotRunReason;
+
+/**
+ * Serves the calls that other nodes send on connections of their own. Safe for use by several
+ * threads.
+ */
+final class PeerCallServer implements PeerListener {
+    private final GateService mGate;
+    private final FrameStamp mStamp;
+    private final int mMaxStreams;
+    private final Map<Long, Peer> mPeers = new ConcurrentHashMap<>();
+
+    PeerCallServer(GateService gate, FrameStamp stamp, int maxStreams) {
+        mGate = gate;
+        mStamp = stamp;
+        mMaxStreams = maxStreams;
+    }
+
+    /** The calls in progress of one connection. */
+    private static final class Peer {
+        final Map<Long, Cancellable> mCalls = new ConcurrentHashMap<>();
+        final AtomicInteger mStreams = new AtomicInteger();
+        long mLastStream;
+    }
+
+    /** A call that can be cancelled before the gate has returned. */
+    private static final class OpenCall implements Cancellable {
+        private Cancellable mCall;
+        private boolean mCancelled;
+
+        synchronized void set(Cancellable call) {
+            mCall = call;
+            if (mCancelled) {
+                call.cancel();
+            }
+        }
+
+        @Override
+        public synchronized void cancel() {
+            mCancelled = true;
+            if (mCall != null) {
+                mCall.cancel();
+            }
+        }
+    }
+
+    @Override
+    public void onHello(PeerConnection connection, Frame frame) {
+        mStamp.observe(frame, frame.getHello().getSelf().getPeerAddress());
+        mPeers.put(connection.id(), new Peer());
+    }
+
+    @Override
+    public void onFrame(PeerConnection connection, Frame frame) {
+        Peer peer = mPeers.get(connection.id());
+        mStamp.observe(frame, "");
+        if (peer == null) {
+            return;
+        }
+        switch (frame.getBodyCase()) {
+            case CALL_REQUEST -> onRequest(connection, peer, frame.getCallRequest());
+            case CALL_CANCEL -> {
+                Cancellable call = peer.mCalls.remove(frame.getCallCancel().getStream());
+                if (call != null) {
+                    call.cancel();
+                }
+            }
+            default -> connection.abort();
+        }
+    }
+
+    private void onRequest(PeerConnection connection, Peer peer, CallRequest request) {
+        // Stream ids only grow, so that a late answer can never meet another call.
+        if (request.getStream() <= peer.mLastStream) {
+            connection.abort();
+            return;
+        }
+        peer.mLastStream = request.getStream();
+        if (peer.mStreams.incrementAndGet() > mMaxStreams) {
+            NotRunReason overloaded = NotRunReason.NOT_RUN_REASON_OVERLOADED;
+            answer(connection, peer, request, CallAnswers.notRun(overloaded));
+            return;
+        }
+        OpenCall open = new OpenCall();
+        peer.mCalls.put(request.getStream(), open);
+        open.set(mGate.serve(request, answer -> answer(connection, peer, request, answer)));
+    }
+
+    private void answer(
+            PeerConnection connection, Peer peer, CallRequest request, CallAnswer answer) {
+        peer.mCalls.remove(request.getStream());
+        peer.mStreams.decrementAndGet();
+        CallAnswer addressed = answer.toBuilder().setStream(request.getStream()).build();
+        connection.send(mStamp.newFrame().setCallAnswer(addressed).build());
+    }
+
+    @Override
+    public void onClosed(PeerConnection connection) {
+        Peer peer = mPeers.remove(connection.id());
+        if (peer != null) {
+            peer.mCalls.values().forEach(Cancellable::cancel);
+        }
+    }
+}
--- /dev/null
+++ b/oriolewind-node/src/main/java/org/oriolewind/node/call/PeerCalls.java
@@ -0,0 +1,61 @@
+package org.oriolewind.node.call;
+
+import java.net.InetSocketAddress;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Consumer;
+import org.oriolewind.node.peer.PeerAddress;
+import org.oriolewind.node.peer.PeerTransport;
+import org.oriolewind.time.NodeClock;
+import org.oriolewind.wire.CallAnswer;
+import org.oriolewind.wire.CallRequest;
+import org.oriolewind.wire.Member;
+import org.oriolewind.wire.NotRunReason;
+
+/** Sends calls to other nodes, over one connection to each. Safe for use by several threads. */
+final class PeerCalls {
+    private final PeerTransport mTransport;
+    private final Member mSelf;
+    private final FrameStamp mStamp;
+    private final NodeClock mClock;
+    private final int mMaxStreams;
+    private final Map<String, PeerCallLink> mLinks = new ConcurrentHashMap<>();
+
+    PeerCalls(NodeServices services, FrameStamp stamp, int maxStreams) {
+        mTransport = services.transport();
+        mSelf = services.self();
+        mStamp = stamp;
+        mClock = services.clock();
+        mMaxStreams = maxStreams;
+    }
+
+    /** Sends a call; the answer comes once, on any thread. */
+    Cancellable send(String peerAddress, CallRequest request, Consumer<CallAnswer> done) {
+        Optional<InetSocketAddress> address = PeerAddress.parse(peerAddress);
+        if (address.isEmpty()) {
+            done.accept(CallAnswers.notRun(NotRunReason.NOT_RUN_REASON_UNREACHABLE));
+            return () -> {};
+        }
+        while (true) {
+            PeerCallLink link = mLinks.computeIfAbsent(peerAddress, a -> newLink(a, address.get()));
+            Optional<Cancellable> sent = link.send(request, done);
+            if (sent.isPresent()) {
+                return sent.get();
+            }
+            mLinks.remove(peerAddress, link);
+        }
+    }
+
+    private PeerCallLink newLink(String peerAddress, InetSocketAddress address) {
+        PeerCallLink link = new PeerCallLink(peerAddress, mSelf, mStamp, mClock, mMaxStreams);
+        link.connect(mTransport, address);
+        return link;
+    }
+
+    /** Ends calls whose time has run out. To be called several times a second. */
+    void tick() {
+        mLinks.values().forEach(PeerCallLink::tick);
+        mLinks.values().removeIf(PeerCallLink::isClosed);
+    }
+}
--- /dev/null
+++ b/oriolewind-node/src/main/java/org/oriolewind/node/call/RequestPath.java
@@ -0,0 +1,129 @@
+package org.oriolewind.node.call;
+
+import com.codahale.metrics.Gauge;
+import com.codahale.metrics.MetricRegistry;
+import java.util.function.BooleanSupplier;
+import java.util.function.ObjLongConsumer;
+import java.util.function.Supplier;
+import org.eclipse.jetty.server.Handler;
+import org.oriolewind.admission.Gate;
+import org.oriolewind.admission.GateSettings;
+import org.oriolewind.membership.MemberDirectory;
+import org.oriolewind.node.peer.PeerListener;
+import org.oriolewind.rollout.EvidenceCollector;
+import org.oriolewind.routing.RetryBudget;
+
+/**
+ * The request path of a node, put together: from callers to other nodes, and through the gate to
+ * the backend server. Safe for use by several threads.
+ */
+public final class RequestPath {
+    private static final double MAX_SAVED_RETRIES = 20;
+
+    private final Gate mGate;
+    private final BackendSignals mSignals;
+    private final PeerCalls mPeers;
+    private final PeerCallServer mPeerServer;
+    private final CallerHandler mCallerHandler;
+
+    /**
+     * Puts the request path together.
+     *
+     * @param services what the parts of the node share
+     * @param backendAddress the backend server's address
+     * @param gateSettings settings of the gate
+     * @param limits limits towards callers
+     * @param directory the members that take calls
+     * @param ready whether the node may take calls
+     * @param onNewerVersion told of a peer with a newer configuration
+     * @param evidence counts calls
+     */
+    public RequestPath(
+            NodeServices services,
+            String backendAddress,
+            GateSettings gateSettings,
+            CallerLimits limits,
+            Supplier<MemberDirectory> directory,
+            BooleanSupplier ready,
+            ObjLongConsumer<String> onNewerVersion,
+            EvidenceCollector evidence) {
+        CallEvents callEvents = new CallEvents(services.events(), limits.callEventShare());
+        FrameStamp stamp = new FrameStamp(services.config(), services.hybrid(), onNewerVersion);
+        mGate = new Gate(gateSettings, services.clock());
+        mSignals = new BackendSignals(services.clock());
+        BackendClient backend =
+                new BackendClient(services.httpClient(), backendAddress, limits.maxBodyBytes());
+        GateService gateService = new GateService(services, mGate, backend, callEvents, mSignals);
+        mPeers = new PeerCalls(services, stamp, limits.maxStreams());
+        mPeerServer = new PeerCallServer(gateService, stamp, limits.maxStreams());
+        CallDispatcher dispatcher =
+                new CallDispatcher(
+                        services,
+                        directory,
+                        new RetryBudget(limits.retriesPerCall(), MAX_SAVED_RETRIES),
+                        gateService,
+                        mPeers,
+                        evidence,
+                        callEvents);
+        mCallerHandler = new CallerHandler(dispatcher, services.clock(), ready, limits);
+        registerGauges(services.registry());
+    }
+
+    private void registerGauges(MetricRegistry registry) {
+        registry.register("gate.limit", (Gauge<Integer>) () -> mGate.load().limit());
+        registry.register("gate.in_flight", (Gauge<Integer>) () -> mGate.load().inFlight());
+        registry.register("gate.queued", (Gauge<Integer>) () -> mGate.load().queued());
+        registry.register("callers.open_calls", (Gauge<Integer>) mCallerHandler::openCalls);
+    }
+
+    /**
+     * Returns the gate.
+     *
+     * @return the gate in front of the backend server
+     */
+    public Gate gate() {
+        return mGate;
+    }
+
+    /**
+     * Returns what calls show of the backend server.
+     *
+     * @return the signals
+     */
+    public BackendSignals signals() {
+        return mSignals;
+    }
+
+    /**
+     * Returns the handler of callers' requests.
+     *
+     * @return the handler
+     */
+    public Handler callerHandler() {
+        return mCallerHandler;
+    }
+
+    /**
+     * Returns the listener for connections that carry calls.
+     *
+     * @return the listener
+     */
+    public PeerListener callListener() {
+        return mPeerServer;
+    }
+
+    /**
+     * Returns whether no call is in progress, neither of a caller nor at the gate.
+     *
+     * @return true if the node can end without cutting a call
+     */
+    public boolean isIdle() {
+        return mCallerHandler.openCalls() == 0 && mGate.load().inFlight() == 0;
+    }
+
+    /** Ends calls whose time has run out. To be called several times a second. */
+    public void tick() {
+        mGate.tick();
+        mPeers.tick();
+    }
+}
--- /dev/null
+++ b/oriolewind-node/src/main/java/org/oriolewind/node/log/package-info.java
@@ -0,0 +1,2 @@
+/** Logs and events as JSON lines. */
+package org.oriolewind.node.log;
--- /dev/null
+++ b/oriolewind-node/src/main/java/org/oriolewind/node/package-info.java
@@ -0,0 +1,2 @@
+/** The daemon oriolewindd: its settings, start and end. */
+package org.oriolewind.node;
--- /dev/null
+++ b/oriolewind-node/src/main/java/org/oriolewind/node/peer/PeerConnection.java
@@ -0,0 +1,81 @@
+package org.oriolewind.node.peer;
+
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
+import java.util.function.Consumer;
+import org.oriolewind.wire.Frame;
+import org.oriolewind.wire.LinkPurpose;
+
+/** One connection to another node. Safe for use by several threads. */
+public final class PeerConnection {
+    private final long mId;
+    private final Channel mChannel;
+    private volatile LinkPurpose mPurpose = LinkPurpose.LINK_PURPOSE_UNSPECIFIED;
+
+    PeerConnection(long id, Channel channel) {
+        mId = id;
+        mChannel = channel;
+    }
+
+    /**
+     * Returns the connection's number, unique within the process.
+     *
+     * @return the number
+     */
+    public long id() {
+        return mId;
+    }
+
+    /**
+     * Returns what the connection is for.
+     *
+     * @return the purpose of the hello, unspecified on connections opened by this node
+     */
+    public LinkPurpose purpose() {
+        return mPurpose;
+    }
+
+    void setPurpose(LinkPurpose purpose) {
+        mPurpose = purpose;
+    }
+
+    /**
+     * Returns whether the other side takes what is sent fast enough.
+     *
+     * @return false if much waits to be sent, or the connection is closed
+     */
+    public boolean isWritable() {
+        return mChannel.isWritable();
+    }
+
+    /**
+     * Sends a frame.
+     *
+     * @param frame the frame
+     */
+    public void send(Frame frame) {
+        mChannel.writeAndFlush(frame, mChannel.voidPromise());
+    }
+
+    /**
+     * Sends a frame and tells whether it left this process.
+     *
+     * @param frame the frame
+     * @param done called with false if no part of the frame can have been sent
+     */
+    public void send(Frame frame, Consumer<Boolean> done) {
+        mChannel.writeAndFlush(frame)
+                .addListener((ChannelFutureListener) future -> done.accept(future.isSuccess()));
+    }
+
+    /** Closes the connection after what was sent before. */
+    public void close() {
+        mChannel.writeAndFlush(io.netty.buffer.Unpooled.EMPTY_BUFFER)
+                .addListener(ChannelFutureListener.CLOSE);
+    }
+
+    /** Closes the connection at once. */
+    public void abort() {
+        mChannel.close();
+    }
+}
--- /dev/null
+++ b/oriolewind-node/src/main/java/org/oriolewind/node/peer/PeerRouter.java
@@ -0,0 +1,40 @@
+package org.oriolewind.node.peer;
+
+import org.oriolewind.wire.Frame;
+import org.oriolewind.wire.LinkPurpose;
+
+/** Parts connections that carry calls from those of the control side. Safe for several threads. */
+public final class PeerRouter implements PeerListener {
+    private final PeerListener mControl;
+    private final PeerListener mCalls;
+
+    /**
+     * Creates a router.
+     *
+     * @param control takes control connections
+     * @param calls takes connections that carry calls
+     */
+    public PeerRouter(PeerListener control, PeerListener calls) {
+        mControl = control;
+        mCalls = calls;
+    }
+
+    private PeerListener listener(PeerConnection connection) {
+        return connection.purpose() == LinkPurpose.LINK_PURPOSE_CALLS ? mCalls : mControl;
+    }
+
+    @Override
+    public void onHello(PeerConnection connection, Frame frame) {
+        listener(connection).onHello(connection, frame);
+    }
+
+    @Override
+    public void onFrame(PeerConnection connection, Frame frame) {
+        listener(connection).onFrame(connection, frame);
+    }
+
+    @Override
+    public void onClosed(PeerConnection connection) {
+        listener(connection).onClosed(connection);
+    }
+}
--- /dev/null
+++ b/oriolewind-node/src/main/java/org/oriolewind/node/peer/package-info.java
@@ -0,0 +1,2 @@
+/** Connections between nodes. */
+package org.oriolewind.node.peer;
--- /dev/null
+++ b/oriolewind-node/src/main/java/org/oriolewind/node/store/HttpObjectStore.java
@@ -0,0 +1,187 @@
+package org.oriolewind.node.store;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
+import java.net.URLEncoder;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Base64;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import org.eclipse.jetty.client.BytesRequestContent;
+import org.eclipse.jetty.client.CompletableResponseListener;
+import org.eclipse.jetty.client.ContentResponse;
+import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.client.Request;
+import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.http.HttpMethod;
+import org.oriolewind.config.JsonFormat;
+import org.oriolewind.platform.ObjectStore;
+import org.oriolewind.platform.PlatformException;
+import org.oriolewind.platform.PlatformException.Kind;
+import org.oriolewind.platform.StoredObject;
+import org.oriolewind.platform.WatchBatch;
+
+/**
+ * The platform's object API over HTTP: {@code GET}, and {@code PUT} with {@code If-Match} or {@code
+ * If-None-Match}, on {@code /objects/KEY}; {@code GET /objects?prefix=} lists; {@code GET /watch}
+ * waits. Safe for use by several threads.
+ */
+public final class HttpObjectStore implements ObjectStore {
+    private static final int MAX_ANSWER_BYTES = 64 * 1024 * 1024;
+    private static final Duration WATCH_MARGIN = Duration.ofSeconds(5);
+
+    private final HttpClient mClient;
+    private final String mUrl;
+    private final Duration mTimeout;
+
+    /**
+     * Creates a store.
+     *
+     * @param client a started client
+     * @param url the platform's address, without a slash at the end
+     * @param timeout the longest time for a call that does not wait
+     */
+    public HttpObjectStore(HttpClient client, String url, Duration timeout) {
+        mClient = client;
+        mUrl = url;
+        mTimeout = timeout;
+    }
+
+    @Override
+    public Optional<StoredObject> get(String key) throws PlatformException {
+        String step = "get " + key;
+        ContentResponse response = send(request(HttpMethod.GET, objectUrl(key)), step, mTimeout);
+        if (response.getStatus() == 404) {
+            return Optional.empty();
+        }
+        check(response, step);
+        return Optional.of(
+                new StoredObject(key, version(response, step), Optional.of(response.getContent())));
+    }
+
+    @Override
+    public long put(String key, byte[] value, long expectedVersion) throws PlatformException {
+        String step = "put " + key;
+        Request request = request(HttpMethod.PUT, objectUrl(key));
+        if (expectedVersion == ABSENT) {
+            request.headers(h -> h.put(HttpHeader.IF_NONE_MATCH, "*"));
+        } else {
+            request.headers(h -> h.put(HttpHeader.IF_MATCH, "\"" + expectedVersion + "\""));
+        }
+        request.body(new BytesRequestContent("application/json", value));
+        ContentResponse response = send(request, step, mTimeout);
+        check(response, step);
+        return version(response, step);
+    }
+
+    @Override
+    public WatchBatch list(String prefix) throws PlatformException {
+        String step = "list " + prefix;
+        String url = mUrl + "/objects?prefix=" + encode(prefix);
+        return batch(send(request(HttpMethod.GET, url), step, mTimeout), step);
+    }
+
+    @Override
+    public WatchBatch watch(String prefix, long afterRevision, Duration wait)
+            throws PlatformException {
+        String step = "watch " + prefix;
+        String url =
+                String.format(
+                        "%s/watch?prefix=%s&after=%d&waitMillis=%d",
+                        mUrl, encode(prefix), afterRevision, wait.toMillis());
+        return batch(send(request(HttpMethod.GET, url), step, wait.plus(WATCH_MARGIN)), step);
+    }
+
+    private Request request(HttpMethod method, String url) {
+        return mClient.newRequest(url).method(method);
+    }
+
+    private String objectUrl(String key) {
+        return mUrl + "/objects/" + encode(key).replace("%2F", "/");
+    }
+
+    private static String encode(String text) {
+        return URLEncoder.encode(text, StandardCharsets.UTF_8);
+    }
+
+    private ContentResponse send(Request request, String step, Duration timeout)
+            throws PlatformException {
+        boolean write = HttpMethod.PUT.is(request.getMethod());
+        SentFlag sent = new SentFlag();
+        request.onRequestBegin(r -> sent.mSent = true);
+        request.timeout(timeout.toMillis(), TimeUnit.MILLISECONDS);
+        request.idleTimeout(timeout.toMillis(), TimeUnit.MILLISECONDS);
+        try {
+            return new CompletableResponseListener(request, MAX_ANSWER_BYTES)
+                    .send()
+                    .get(timeout.toMillis() + 1000, TimeUnit.MILLISECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new PlatformException(unclear(write), step, mUrl, "interrupted", e);
+        } catch (ExecutionException | TimeoutException e) {
+            Kind kind = sent.mSent ? unclear(write) : Kind.UNAVAILABLE;
+            throw new PlatformException(kind, step, mUrl, "no answer", e);
+        }
+    }
+
+    private static Kind unclear(boolean write) {
+        return write ? Kind.OUTCOME_UNKNOWN : Kind.UNAVAILABLE;
+    }
+
+    /** Whether any byte of a request may have left this process. */
+    private static final class SentFlag {
+        volatile boolean mSent;
+    }
+
+    private void check(ContentResponse response, String step) throws PlatformException {
+        int status = response.getStatus();
+        if (status / 100 == 2) {
+            return;
+        }
+        Kind kind =
+                switch (status) {
+                    case 409, 412 -> Kind.CONFLICT;
+                    case 410 -> Kind.COMPACTED;
+                    case 413 -> Kind.TOO_LARGE;
+                    case 429 -> Kind.RATE_LIMITED;
+                    case 503 -> Kind.UNAVAILABLE;
+                    default -> Kind.BAD_ANSWER;
+                };
+        throw new PlatformException(kind, step, mUrl, "answered with status " + status, null);
+    }
+
+    private long version(ContentResponse response, String step) throws PlatformException {
+        String tag = response.getHeaders().get(HttpHeader.ETAG);
+        try {
+            return Long.parseLong(tag.replace("\"", ""));
+        } catch (NumberFormatException | NullPointerException e) {
+            throw new PlatformException(Kind.BAD_ANSWER, step, mUrl, "bad version " + tag, e);
+        }
+    }
+
+    private WatchBatch batch(ContentResponse response, String step) throws PlatformException {
+        check(response, step);
+        try {
+            JsonNode root = JsonFormat.mapper().readTree(response.getContent());
+            List<StoredObject> objects = new ArrayList<>();
+            for (JsonNode node : root.required("objects")) {
+                Optional<byte[]> value =
+                        Optional.ofNullable(node.get("value"))
+                                .map(v -> Base64.getDecoder().decode(v.asText()));
+                objects.add(
+                        new StoredObject(
+                                node.required("key").asText(),
+                                node.required("version").asLong(),
+                                value));
+            }
+            return new WatchBatch(root.required("revision").asLong(), objects);
+        } catch (IOException | IllegalArgumentException e) {
+            throw new PlatformException(Kind.BAD_ANSWER, step, mUrl, "unreadable answer", e);
+        }
+    }
+}
--- /dev/null
+++ b/oriolewind-node/src/main/java/org/oriolewind/node/store/package-info.java
@@ -0,0 +1,2 @@
+/** The platform's object API over HTTP. */
+package org.oriolewind.node.store;
--- /dev/null
+++ b/oriolewind-standins/src/main/java/org/oriolewind/standins/StandInServer.java
@@ -0,0 +1,39 @@
+package org.oriolewind.standins;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import org.eclipse.jetty.server.Handler;
+import org.eclipse.jetty.server.Server;
+import org.eclipse.jetty.util.thread.QueuedThreadPool;
+import org.oriolewind.node.HttpServers;
+
+/** Makes the HTTP servers of stand-ins. Stateless. */
+public final class StandInServer {
+    private static final int MAX_HEADER_BYTES = 65_536;
+    private static final int MAX_CONNECTIONS = 10_000;
+    private static final Duration IDLE_TIMEOUT = Duration.ofSeconds(120);
+
+    private StandInServer() {}
+
+    /**
+     * Starts a server on loopback.
+     *
+     * @param port the port
+     * @param maxThreads the most threads
+     * @param handler takes the requests
+     * @return the server, running
+     * @throws Exception if the port can't be used
+     */
+    public static Server start(int port, int maxThreads, Handler handler) throws Exception {
+        Server server =
+                HttpServers.newServer(
+                        new InetSocketAddress("127.0.0.1", port),
+                        new QueuedThreadPool(maxThreads),
+                        MAX_HEADER_BYTES,
+                        MAX_CONNECTIONS,
+                        IDLE_TIMEOUT,
+                        handler);
+        server.start();
+        return server;
+    }
+}
--- /dev/null
+++ b/oriolewind-standins/src/main/java/org/oriolewind/standins/backend/package-info.java
@@ -0,0 +1,2 @@
+/** A stand-in for backend servers. */
+package org.oriolewind.standins.backend;
--- /dev/null
+++ b/oriolewind-standins/src/main/java/org/oriolewind/standins/caller/CallerStandIn.java
@@ -0,0 +1,133 @@
+package org.oriolewind.standins.caller;
+
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.locks.LockSupport;
+import java.util.function.BooleanSupplier;
+import org.eclipse.jetty.client.BufferingResponseListener;
+import org.eclipse.jetty.client.BytesRequestContent;
+import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.client.Request;
+import org.eclipse.jetty.client.Result;
+import org.oriolewind.node.call.CallHeaders;
+import org.oriolewind.standins.backend.BackendHandler;
+
+/**
+ * Makes calls at a steady rate, whatever becomes of them, at several nodes in turn. Safe for use by
+ * several threads.
+ */
+public final class CallerStandIn {
+    private static final long NANOS_PER_SECOND = 1_000_000_000L;
+    private static final long CALL_TIMEOUT_MILLIS = 5000;
+
+    private final HttpClient mClient;
+    private final String mName;
+    private final List<String> mUrls;
+    private final CallKind mKind;
+    private final CallCounts mCounts;
+    private final AtomicLong mNext = new AtomicLong();
+    private final AtomicInteger mOpen = new AtomicInteger();
+
+    /**
+     * Creates a caller.
+     *
+     * @param client a started client
+     * @param name start of the request ids
+     * @param urls addresses of nodes, or of one backend server
+     * @param kind the kind of calls
+     * @param counts takes the ends of calls
+     */
+    public CallerStandIn(
+            HttpClient client, String name, List<String> urls, CallKind kind, CallCounts counts) {
+        mClient = client;
+        mName = name;
+        mUrls = List.copyOf(urls);
+        mKind = kind;
+        mCounts = counts;
+    }
+
+    /**
+     * Makes calls until told to stop, then waits for those open.
+     *
+     * @param running whether to go on
+     */
+    public void run(BooleanSupplier running) {
+        long intervalNanos = (long) (NANOS_PER_SECOND / mKind.perSecond());
+        long nextNanos = System.nanoTime();
+        while (running.getAsBoolean()) {
+            long waitNanos = nextNanos - System.nanoTime();
+            if (waitNanos > 0) {
+                LockSupport.parkNanos(waitNanos);
+                continue;
+            }
+            nextNanos += intervalNanos;
+            call();
+        }
+        long endNanos = System.nanoTime() + CALL_TIMEOUT_MILLIS * 2_000_000L;
+        while (mOpen.get() > 0 && System.nanoTime() < endNanos) {
+            LockSupport.parkNanos(1_000_000L);
+        }
+    }
+
+    private void call() {
+        long number = mNext.getAndIncrement();
+        String id = mName + "-" + number;
+        Request request =
+                mClient.newRequest(mUrls.get((int) (number % mUrls.size())) + mKind.path());
+        request.method(mKind.method());
+        request.headers(
+                h -> {
+                    h.put(BackendHandler.REQUEST_ID, id);
+                    h.put(CallHeaders.CALL, id);
+                    h.put(CallHeaders.TIMEOUT_MILLIS, Long.toString(CALL_TIMEOUT_MILLIS));
+                });
+        if (!mKind.method().equals("GET")) {
+            request.body(new BytesRequestContent(id.getBytes(StandardCharsets.UTF_8)));
+        }
+        request.timeout(2 * CALL_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+        mCounts.onMade();
+        mOpen.incrementAndGet();
+        long startNanos = System.nanoTime();
+        request.send(new Completion(id, startNanos));
+    }
+
+    /** Takes the end of one call. */
+    private final class Completion extends BufferingResponseListener {
+        private final String mId;
+        private final long mStartNanos;
+
+        Completion(String id, long startNanos) {
+            mId = id;
+            mStartNanos = startNanos;
+        }
+
+        @Override
+        public void onComplete(Result result) {
+            long micros = (System.nanoTime() - mStartNanos) / 1000;
+            mOpen.decrementAndGet();
+            if (result.isFailed()) {
+                mCounts.onLost();
+                return;
+            }
+            int status = result.getResponse().getStatus();
+            String outcome = result.getResponse().getHeaders().get(CallHeaders.OUTCOME);
+            if ("not-run".equals(outcome)) {
+                mCounts.onNotRun(mId);
+            } else if ("unknown".equals(outcome)) {
+                mCounts.onUnknown();
+            } else {
+                mCounts.onAnswered(mId, status, micros);
+                checkOwn(status);
+            }
+        }
+
+        private void checkOwn(int status) {
+            if (status == 200 && !("done " + mId + "\n").equals(getContentAsString())) {
+                mCounts.onWrongAnswer();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/oriolewind-standins/src/main/java/org/oriolewind/standins/caller/package-info.java
@@ -0,0 +1,2 @@
+/** A stand-in for callers. */
+package org.oriolewind.standins.caller;
--- /dev/null
+++ b/oriolewind-standins/src/main/java/org/oriolewind/standins/package-info.java
@@ -0,0 +1,2 @@
+/** Small stand-ins for the systems around oriolewind. */
+package org.oriolewind.standins;
--- /dev/null
+++ b/oriolewind-standins/src/main/java/org/oriolewind/standins/quickstart/MeshQueries.java
@@ -0,0 +1,88 @@
+package org.oriolewind.standins.quickstart;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.oriolewind.cli.timeline.Timeline;
+import org.oriolewind.cli.timeline.TimelineEvent;
+import org.oriolewind.config.JsonFormat;
+import org.oriolewind.standins.quickstart.MeshProcesses.NodeProcess;
+
+/** Asks the processes of a small mesh how they are. Stateless. */
+final class MeshQueries {
+    private static final HttpClient CLIENT =
+            HttpClient.newBuilder().connectTimeout(Duration.ofSeconds(1)).build();
+
+    private MeshQueries() {}
+
+    static JsonNode getJson(String url) throws IOException {
+        try {
+            HttpRequest request =
+                    HttpRequest.newBuilder(URI.create(url)).timeout(Duration.ofSeconds(5)).build();
+            HttpResponse<byte[]> response =
+                    CLIENT.send(request, HttpResponse.BodyHandlers.ofByteArray());
+            return JsonFormat.mapper().readTree(response.body());
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new IOException("interrupted", e);
+        }
+    }
+
+    /** Waits until every node is up, runs a configuration and knows all others. */
+    static void awaitReady(List<NodeProcess> nodes, long timeoutMillis) throws IOException {
+        long endMillis = System.currentTimeMillis() + timeoutMillis;
+        while (!nodes.stream().allMatch(node -> isReady(node, nodes.size()))) {
+            if (System.currentTimeMillis() > endMillis) {
+                throw new IOException("the nodes are not ready in time");
+            }
+            Pause.millis(100);
+        }
+    }
+
+    private static boolean isReady(NodeProcess node, int members) {
+        try {
+            JsonNode status = getJson(node.adminUrl() + "/status");
+            return status.path("state").asText().equals("UP")
+                    && status.path("configVersion").asLong() > 0
+                    && status.path("members").asInt() >= members;
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
+    /** Sums how often each request id ran over all backend servers. */
+    static Map<String, Integer> runs(List<NodeProcess> nodes) throws IOException {
+        Map<String, Integer> runs = new HashMap<>();
+        for (NodeProcess node : nodes) {
+            JsonNode counts = getJson(node.backendUrl() + "/control/counts");
+            counts.path("runs")
+                    .properties()
+                    .forEach(e -> runs.merge(e.getKey(), e.getValue().asInt(), Integer::sum));
+        }
+        return runs;
+    }
+
+    /** Returns the time from publication until the last node ran a version, in milliseconds. */
+    static long convergenceMillis(List<Path> eventFiles, long version, Instant publishedAt)
+            throws IOException {
+        long latestMillis = 0;
+        for (TimelineEvent event : Timeline.read(eventFiles)) {
+            boolean applied =
+                    event.text("kind").equals("CONFIG_APPLIED") && event.number("value") >= version;
+            if (applied && event.number("value") == version) {
+                Instant at = Instant.parse(event.text("at"));
+                latestMillis = Math.max(latestMillis, Duration.between(publishedAt, at).toMillis());
+            }
+        }
+        return latestMillis;
+    }
+}
--- /dev/null
+++ b/oriolewind-standins/src/main/java/org/oriolewind/standins/quickstart/Pause.java
@@ -0,0 +1,14 @@
+package org.oriolewind.standins.quickstart;
+
+/** Waits. Stateless. */
+final class Pause {
+    private Pause() {}
+
+    static void millis(long millis) {
+        try {
+            Thread.sleep(millis);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
