Test the control side under failure on an in-memory network

Cause: leads, tree, spread and leases had no tests of the failures that they are for.

Change: control nodes on a seeded in-memory network with a fake clock and a platform in memory: lead killed, lead paused past its lease, a data centre killed at once, half the fleet reconnecting, platform away for ten minutes, answers lost, watch compacted, a data centre cut off with a node replaced in it, and a property over random orders of these.

--- a/oriolewind-core/src/main/java/org/oriolewind/control/ControlNode.java
+++ b/oriolewind-core/src/main/java/org/oriolewind/control/ControlNode.java
@@ -320,6 +320,15 @@
         return mStartup.isReady();
     }
 
+    /**
+     * Returns the term of this node's view of the data centre's lease.
+     *
+     * @return the term, 0 if the lease was never read
+     */
+    long leadTerm() {
+        return mLeadLease.term();
+    }
+
     /**
      * Returns a picture for operators.
      *
--- /dev/null
+++ b/oriolewind-core/src/test/java/org/oriolewind/control/FakeMesh.java
@@ -0,0 +1,189 @@
+package org.oriolewind.control;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.Set;
+import java.util.TreeMap;
+import org.oriolewind.config.ConfigPublisher;
+import org.oriolewind.config.TestNotes;
+import org.oriolewind.platform.MemoryObjectStore;
+import org.oriolewind.time.FakeClock;
+
+/**
+ * A few control sides on an in-memory network with a fake clock and a platform in memory. Seeded:
+ * the same steps give the same run.
+ */
+final class FakeMesh {
+    private static final long TICK_MILLIS = 50;
+    private static final long MAX_DELAY_MILLIS = 4;
+
+    final FakeClock mClock = new FakeClock();
+    final MemoryObjectStore mStore = new MemoryObjectStore();
+    final Random mRandom;
+    final Map<String, FakeNode> mNodes = new TreeMap<>();
+    private final Set<String> mIsolated = new HashSet<>();
+    private final PriorityQueue<Delivery> mDeliveries = new PriorityQueue<>();
+    private long mNextOrder;
+    private long mNextLink = 1;
+    private long mNextIncarnation = 1;
+
+    FakeMesh(long seed) {
+        mRandom = new Random(seed);
+    }
+
+    /** Something that happens at a node at a time. */
+    private record Delivery(long atMillis, long order, FakeNode node, Runnable work)
+            implements Comparable<Delivery> {
+        @Override
+        public int compareTo(Delivery other) {
+            int byTime = Long.compare(atMillis, other.atMillis);
+            return byTime != 0 ? byTime : Long.compare(order, other.order);
+        }
+    }
+
+    FakeNode start(String name, String dataCentre) {
+        FakeNode node = new FakeNode(this, name, dataCentre, mNextIncarnation++);
+        mNodes.put(name, node);
+        return node;
+    }
+
+    void startAll(int dataCentres, int nodesEach) {
+        for (int d = 0; d < dataCentres; d++) {
+            for (int n = 0; n < nodesEach; n++) {
+                start(String.format("dc%d-n%02d", d, n), "dc" + d);
+            }
+        }
+    }
+
+    void kill(String name) {
+        FakeNode node = mNodes.remove(name);
+        node.die();
+    }
+
+    /** Cuts a data centre off from the platform and from all others, or heals the cut. */
+    void isolate(String dataCentre, boolean cut) {
+        if (cut) {
+            mIsolated.add(dataCentre);
+        } else {
+            mIsolated.remove(dataCentre);
+        }
+    }
+
+    boolean reachable(FakeNode from, FakeNode to) {
+        return from.mDataCentre.equals(to.mDataCentre)
+                || !mIsolated.contains(from.mDataCentre) && !mIsolated.contains(to.mDataCentre);
+    }
+
+    boolean reachesPlatform(FakeNode node) {
+        return !mIsolated.contains(node.mDataCentre);
+    }
+
+    long nextLinkId() {
+        return mNextLink++;
+    }
+
+    FakeNode at(String address) {
+        return mNodes.get(address.substring(0, address.indexOf(':')));
+    }
+
+    void deliver(FakeNode node, Runnable work) {
+        deliver(node, 1 + mRandom.nextInt((int) MAX_DELAY_MILLIS), work);
+    }
+
+    void deliver(FakeNode node, long delayMillis, Runnable work) {
+        long atMillis = mClock.monotonicMillis() + delayMillis;
+        mDeliveries.add(new Delivery(atMillis, mNextOrder++, node, work));
+    }
+
+    /** Lets time pass. */
+    void run(long millis) {
+        long endMillis = mClock.monotonicMillis() + millis;
+        while (mClock.monotonicMillis() < endMillis) {
+            mClock.advanceMillis(1);
+            List<Delivery> held = new ArrayList<>();
+            while (!mDeliveries.isEmpty()
+                    && mDeliveries.peek().atMillis() <= mClock.monotonicMillis()) {
+                Delivery due = mDeliveries.poll();
+                if (due.node().mPaused) {
+                    held.add(due);
+                } else if (due.node().mAlive) {
+                    due.work().run();
+                }
+            }
+            mDeliveries.addAll(held);
+            if (mClock.monotonicMillis() % TICK_MILLIS == 0) {
+                mNodes.values().forEach(FakeNode::tick);
+            }
+        }
+    }
+
+    /** Lets time pass until a condition holds, and returns how long that took, or -1. */
+    long runUntil(long limitMillis, java.util.function.BooleanSupplier condition) {
+        long start = mClock.monotonicMillis();
+        while (mClock.monotonicMillis() - start < limitMillis) {
+            if (condition.getAsBoolean()) {
+                return mClock.monotonicMillis() - start;
+            }
+            run(TICK_MILLIS);
+        }
+        return condition.getAsBoolean() ? mClock.monotonicMillis() - start : -1;
+    }
+
+    long publish(String note) {
+        try {
+            return new ConfigPublisher(mStore, mClock)
+                    .publish(TestNotes.read(note))
+                    .head()
+                    .config()
+                    .version();
+        } catch (Exception e) {
+            throw new AssertionError(e);
+        }
+    }
+
+    long publishMove(String id) {
+        return publish(
+                String.format(
+                        """
+                        {"id": "%s", "services": {"changed": [
+                         {"name": "holders", "shares": {"v1": %d, "v2": %d}}]}}
+                        """,
+                        id, Math.abs(id.hashCode() % 100), 100 - Math.abs(id.hashCode() % 100)));
+    }
+
+    boolean allAt(long version) {
+        return mNodes.values().stream().allMatch(n -> n.version() >= version);
+    }
+
+    /** Whether all nodes know all live nodes and have one lead a data centre, all in its tree. */
+    boolean settled() {
+        for (FakeNode node : mNodes.values()) {
+            ControlStatus status = node.mControl.status();
+            boolean rooted = !status.path().isEmpty() && lead(node.mDataCentre) != null;
+            if (!rooted || !status.path().get(0).equals(lead(node.mDataCentre))) {
+                return false;
+            }
+            if (node.knownLive() != mNodes.size()) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    String lead(String dataCentre) {
+        String lead = null;
+        for (FakeNode node : mNodes.values()) {
+            if (node.mDataCentre.equals(dataCentre) && node.mControl.status().lead()) {
+                if (lead != null) {
+                    throw new AssertionError("two leads: " + lead + " and " + node.mName);
+                }
+                lead = node.mName;
+            }
+        }
+        return lead;
+    }
+}
