Move the request path's decisions into core and test them under faults

Cause: what decides about retries, refusals and outcomes stood among the adapters and could not be tested without sockets. A hung lead was dialled first by those that had just lost it; the standby read the lease only after it had lost its parent.

Change: package request with ports for backend server and peers. A property over random faults at every step of a call: runs at most once unless idempotent, each refusal true, each answer the caller's own. A node that sees a version fail itself stops sending to it. A lost root is tried last; the standby reads the lease all the time and takes over with no random wait; heartbeats each second with a timeout of 3 s.

--- a/oriolewind-bench/src/main/java/org/oriolewind/bench/ControlBench.java
+++ b/oriolewind-bench/src/main/java/org/oriolewind/bench/ControlBench.java
@@ -84,7 +84,8 @@
             measureStart(fleet, "first start");
             measureConvergence(fleet);
             measureIdle(fleet);
-            measureLeadLoss(fleet);
+            measureLeadLoss(fleet, true);
+            measureLeadLoss(fleet, false);
             measureMemory();
             measureRestart(fleet);
         }
@@ -250,11 +251,15 @@
                 .orElse(0);
     }
 
-    private void measureLeadLoss(ControlFleet fleet) throws Exception {
+    private void measureLeadLoss(ControlFleet fleet, boolean killed) throws Exception {
         ControlFleet.Running lead =
                 fleet.running().stream().filter(n -> n.mStatus.lead()).findFirst().orElseThrow();
         String dataCentre = lead.mDataCentre;
-        fleet.stop(lead);
+        if (killed) {
+            fleet.stop(lead);
+        } else {
+            fleet.freeze(lead);
+        }
         long startNanos = System.nanoTime();
         long version = publishChange();
         long news = await(CONVERGE_TIMEOUT_MILLIS, () -> fleet.allAt(version));
@@ -267,9 +272,12 @@
         long elected = (System.nanoTime() - startNanos) / 1_000_000L;
         await(SETTLE_TIMEOUT_MILLIS, fleet::settled);
         print(
-                "lead killed: a change published at once in force after %d ms; new lead after %d"
+                "lead %s: a change published at once in force after %d ms; new lead after %d"
                         + " ms; tree whole after %d ms",
-                news, elected, (System.nanoTime() - startNanos) / 1_000_000L);
+                killed ? "killed" : "hung",
+                news,
+                elected,
+                (System.nanoTime() - startNanos) / 1_000_000L);
     }
 
     private void measureMemory() {
--- a/oriolewind-bench/src/main/java/org/oriolewind/bench/ControlFleet.java
+++ b/oriolewind-bench/src/main/java/org/oriolewind/bench/ControlFleet.java
@@ -34,6 +34,7 @@
     private final String mPlatformUrl;
     private final NodeClock mClock;
     private final List<Running> mRunning = new ArrayList<>();
+    private final List<Running> mFrozen = new ArrayList<>();
 
     ControlFleet(EventLoopGroup group, HttpClient client, String platformUrl, NodeClock clock) {
         mGroup = group;
@@ -117,6 +118,13 @@
         mRunning.remove(node);
     }
 
+    /** Stops a node's work but keeps its connections open. */
+    void freeze(Running node) {
+        node.mControl.freeze();
+        mRunning.remove(node);
+        mFrozen.add(node);
+    }
+
     List<Running> running() {
         return Collections.unmodifiableList(mRunning);
     }
@@ -149,6 +157,8 @@
 
     @Override
     public void close() {
+        mRunning.addAll(mFrozen);
+        mFrozen.clear();
         for (Running node : new ArrayList<>(mRunning)) {
             stop(node);
         }
--- a/oriolewind-core/src/main/java/org/oriolewind/control/ControlNode.java
+++ b/oriolewind-core/src/main/java/org/oriolewind/control/ControlNode.java
@@ -5,6 +5,7 @@
 import java.util.random.RandomGenerator;
 import org.oriolewind.config.InstalledConfig;
 import org.oriolewind.event.EventSink;
+import org.oriolewind.lease.Candidacy;
 import org.oriolewind.lease.LeaseKeeper;
 import org.oriolewind.lease.LeaseRecord;
 import org.oriolewind.membership.MemberDirectory;
@@ -107,9 +108,7 @@
     /** Does what is due. To be called several times a second. */
     public void tick() {
         mStartup.tick();
-        boolean leaving = mContext.self().getState() == MemberState.MEMBER_STATE_LEAVING;
-        boolean candidate = !leaving && mTree.leadTerm() == 0 && mayLead();
-        mLeadLease.tick(candidate);
+        mLeadLease.tick(candidacy());
         mLeadLease.seen().ifPresent(this::onLeaseSeen);
         boolean lead = mLeadLease.isHeld();
         mTree.tick(lead, mLeadLease.term());
@@ -118,16 +117,22 @@
         mHints.tick();
         mFeed.tick(lead || mTree.isStandby() || mTree.isRoot());
         mMemberWriter.tick(lead, mLeadLease.term());
-        mRolloutLease.tick(lead);
+        mRolloutLease.tick(lead ? Candidacy.ANY : Candidacy.NONE);
         mEvidence.tick(mTree.parent(), mTree.isRoot());
         mRollout.tick();
         mMemberSpread.tick();
         beat();
     }
 
-    /** The standby, and nodes without a parent, may take the lease over. */
-    private boolean mayLead() {
-        return mTree.parent().isEmpty() || mTree.isStandby();
+    /** The standby and nodes without a parent may take the lease over. */
+    private Candidacy candidacy() {
+        if (mContext.self().getState() == MemberState.MEMBER_STATE_LEAVING) {
+            return Candidacy.NONE;
+        }
+        if (mTree.isStandby()) {
+            return Candidacy.SUCCESSOR;
+        }
+        return mTree.parent().isEmpty() ? Candidacy.ANY : Candidacy.NONE;
     }
 
     private void onLeaseSeen(LeaseRecord lease) {
--- a/oriolewind-core/src/main/java/org/oriolewind/control/ControlSettings.java
+++ b/oriolewind-core/src/main/java/org/oriolewind/control/ControlSettings.java
@@ -34,8 +34,8 @@
      */
     public static ControlSettings defaults() {
         return new ControlSettings(
-                Duration.ofSeconds(2),
-                Duration.ofSeconds(6),
+                Duration.ofSeconds(1),
+                Duration.ofSeconds(3),
                 Duration.ofSeconds(4),
                 Duration.ofSeconds(6),
                 Duration.ofSeconds(20),
--- a/oriolewind-core/src/main/java/org/oriolewind/control/TreeKeeper.java
+++ b/oriolewind-core/src/main/java/org/oriolewind/control/TreeKeeper.java
@@ -25,7 +25,7 @@
     private static final int MAX_DIALS_PER_SEARCH = 12;
     private static final int MAX_REDIRECT_ADDRESSES = 3;
     private static final int RANDOM_CANDIDATES = 2;
-    private static final long HANDSHAKE_TIMEOUT_MILLIS = 3000;
+    private static final long HANDSHAKE_TIMEOUT_MILLIS = 1000;
     private static final long SEARCH_PAUSE_MILLIS = 1000;
     private static final long SEARCH_JITTER_MILLIS = 3000;
 
@@ -38,6 +38,7 @@
     private List<String> mPath = List.of();
     private String mLeadAddress = "";
     private long mLeadTerm;
+    private long mLostLeadTerm = -1;
     private String mStandby = "";
     private boolean mLeaseHeld;
     private boolean mDialing;
@@ -77,7 +78,7 @@
     /** Takes news of the lease holder from the platform. */
     void onLeadSeen(String address, long term) {
         if (term >= mLeadTerm && !address.equals(mContext.self().getPeerAddress())) {
-            if (!address.equals(mLeadAddress) && mParent.isEmpty()) {
+            if (term > mLostLeadTerm && !address.equals(mLeadAddress) && mParent.isEmpty()) {
                 mCandidates.addFirst(address);
                 mNextSearchMillis = Math.min(mNextSearchMillis, mContext.nowMillis());
             }
@@ -157,7 +158,10 @@
 
     private void fillCandidates() {
         mDialsLeft = MAX_DIALS_PER_SEARCH;
-        addCandidate(mLeadAddress);
+        boolean lost = mLeadTerm <= mLostLeadTerm;
+        if (!lost) {
+            addCandidate(mLeadAddress);
+        }
         mContext.mMembers.find(mStandby).ifPresent(m -> addCandidate(m.getPeerAddress()));
         List<String> lower = lowerPeers();
         if (!lower.isEmpty()) {
@@ -167,6 +171,9 @@
             shuffled.stream().limit(RANDOM_CANDIDATES).forEach(this::addCandidate);
         }
         mContext.mSettings.seeds().forEach(this::addCandidate);
+        if (lost) {
+            addCandidate(mLeadAddress);
+        }
     }
 
     /** Returns live nodes of this data centre whose names come before this node's. */
@@ -378,6 +385,10 @@
     }
 
     void loseParent(String reason) {
+        if (mPath.size() == 2) {
+            // The parent was the root itself: others are tried before it, as it may hang.
+            mLostLeadTerm = mLeadTerm;
+        }
         mParent.ifPresent(this::drop);
         mParent = Optional.empty();
         mDialing = false;
--- a/oriolewind-core/src/main/java/org/oriolewind/lease/LeaseKeeper.java
+++ b/oriolewind-core/src/main/java/org/oriolewind/lease/LeaseKeeper.java
@@ -30,9 +30,6 @@
     /** Share of the duration by which a holder stops early, for drift between clocks. */
     private static final int SAFETY_DIVISOR = 10;
 
-    /** Longest random wait between expiry and the attempt to take over. */
-    private static final Duration TAKEOVER_JITTER = Duration.ofSeconds(2);
-
     private final String mKey;
     private final String mHolder;
     private final long mIncarnation;
@@ -52,6 +49,7 @@
     private boolean mHolding;
     private boolean mCallOpen;
     private boolean mConfirming;
+    private Candidacy mCandidacy = Candidacy.NONE;
 
     /**
      * Creates a keeper.
@@ -117,9 +115,10 @@
     /**
      * Does what is due. A holder renews; a candidate watches the lease and takes over.
      *
-     * @param candidate whether this node shall try to obtain the lease
+     * @param candidacy whether this node shall try to obtain the lease
      */
-    public void tick(boolean candidate) {
+    public void tick(Candidacy candidacy) {
+        mCandidacy = candidacy;
         long now = mClock.monotonicMillis();
         if (mHolding && now >= mHeldUntilMillis && mHeldUntilMillis != Long.MIN_VALUE) {
             noteLapse();
@@ -129,7 +128,7 @@
         }
         if (mHolding) {
             write(renewal(), mSeenVersion);
-        } else if (candidate) {
+        } else if (candidacy != Candidacy.NONE) {
             watchOrTakeOver(now);
         }
     }
@@ -191,7 +190,8 @@
         mHolding = mSeen.filter(this::isMine).isPresent();
         mHeldUntilMillis = Long.MIN_VALUE;
         long expiryMillis = version == ObjectStore.ABSENT ? 0 : mDurationMillis;
-        mTakeoverAtMillis = now + expiryMillis + mRandom.nextLong(TAKEOVER_JITTER.toMillis());
+        mTakeoverAtMillis =
+                now + expiryMillis + mRandom.nextLong(Math.max(1, mCandidacy.jitterMillis()));
     }
 
     private boolean isMine(LeaseRecord record) {
--- a/oriolewind-node/src/main/java/org/oriolewind/node/call/BackendSignals.java
+++ b/oriolewind-core/src/main/java/org/oriolewind/request/BackendSignals.java
@@ -1,4 +1,4 @@
-package org.oriolewind.node.call;
+package org.oriolewind.request;
 
 import org.oriolewind.time.NodeClock;
 
--- a/oriolewind-node/src/main/java/org/oriolewind/node/call/CallDispatcher.java
+++ b/oriolewind-core/src/main/java/org/oriolewind/request/CallDispatcher.java
@@ -1,18 +1,16 @@
-package org.oriolewind.node.call;
+package org.oriolewind.request;
 
 import java.util.Optional;
-import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
-import org.oriolewind.config.InstalledConfig;
 import org.oriolewind.config.MeshConfig;
 import org.oriolewind.config.RouteConfig;
 import org.oriolewind.config.ServiceConfig;
 import org.oriolewind.membership.MemberDirectory;
 import org.oriolewind.rollout.EvidenceCollector;
+import org.oriolewind.rollout.LocalStops;
 import org.oriolewind.routing.EndpointChooser;
 import org.oriolewind.routing.RetryBudget;
-import org.oriolewind.time.NodeClock;
 import org.oriolewind.wire.CallAnswer;
 import org.oriolewind.wire.CallRequest;
 import org.oriolewind.wire.Member;
@@ -21,43 +19,53 @@
  * Takes callers' calls to a backend server, sending again where that is safe. Safe for use by
  * several threads.
  */
-final class CallDispatcher {
-    private final Member mSelf;
-    private final InstalledConfig mConfig;
+public final class CallDispatcher {
+    private final RequestServices mServices;
     private final Supplier<MemberDirectory> mDirectory;
     private final EndpointChooser mEndpoints;
     private final RetryBudget mRetryBudget;
     private final GateService mGate;
-    private final PeerCalls mPeers;
+    private final PeerPort mPeers;
     private final EvidenceCollector mEvidence;
-    private final CallEvents mEvents;
-    private final CallMeters mMeters;
-    private final NodeClock mClock;
+    private final LocalStops mStops;
 
-    CallDispatcher(
-            NodeServices services,
+    /**
+     * Creates a dispatcher.
+     *
+     * @param services what the parts of the request path share
+     * @param directory the members that take calls
+     * @param retryBudget bounds retries
+     * @param gate the gate of this node
+     * @param peers the way to other nodes
+     * @param evidence counts calls
+     * @param stops versions that this node stopped sending to
+     */
+    public CallDispatcher(
+            RequestServices services,
             Supplier<MemberDirectory> directory,
             RetryBudget retryBudget,
             GateService gate,
-            PeerCalls peers,
+            PeerPort peers,
             EvidenceCollector evidence,
-            CallEvents events) {
-        mSelf = services.self();
-        mConfig = services.config();
+            LocalStops stops) {
+        mServices = services;
         mDirectory = directory;
         mEndpoints = new EndpointChooser(services.self().getDataCentre());
         mRetryBudget = retryBudget;
         mGate = gate;
         mPeers = peers;
         mEvidence = evidence;
-        mEvents = events;
-        mMeters = new CallMeters(services.registry());
-        mClock = services.clock();
+        mStops = stops;
     }
 
-    /** Dispatches a call; the result comes once, on any thread. */
-    void dispatch(CallerCall call, Consumer<CallResult> done) {
-        MeshConfig config = mConfig.current();
+    /**
+     * Dispatches a call.
+     *
+     * @param call the call
+     * @param done called once with the result, on any thread
+     */
+    public void dispatch(CallerCall call, Consumer<CallResult> done) {
+        MeshConfig config = mServices.config().current();
         Optional<RouteConfig> route = config.routeFor(call.path());
         if (route.isEmpty()) {
             done.accept(CallResult.noRoute(call.path()));
@@ -69,7 +77,7 @@
     }
 
     Cancellable sendTo(Member target, CallRequest request, Consumer<CallAnswer> done) {
-        if (target.getNode().equals(mSelf.getNode())) {
+        if (target.getNode().equals(mServices.self().getNode())) {
             return mGate.serve(request, done);
         }
         return mPeers.send(target.getPeerAddress(), request, done);
@@ -91,19 +99,11 @@
         return mEvidence;
     }
 
-    CallEvents events() {
-        return mEvents;
+    LocalStops stops() {
+        return mStops;
     }
 
-    CallMeters meters() {
-        return mMeters;
-    }
-
-    NodeClock clock() {
-        return mClock;
-    }
-
-    ThreadLocalRandom random() {
-        return ThreadLocalRandom.current();
+    RequestServices services() {
+        return mServices;
     }
 }
--- a/oriolewind-node/src/main/java/org/oriolewind/node/call/CallEvents.java
+++ b/oriolewind-core/src/main/java/org/oriolewind/request/CallEvents.java
@@ -1,4 +1,4 @@
-package org.oriolewind.node.call;
+package org.oriolewind.request;
 
 import java.util.function.Supplier;
 import net.openhft.hashing.LongHashFunction;
--- a/oriolewind-node/src/main/java/org/oriolewind/node/call/CallResult.java
+++ b/oriolewind-core/src/main/java/org/oriolewind/request/CallResult.java
@@ -1,4 +1,4 @@
-package org.oriolewind.node.call;
+package org.oriolewind.request;
 
 import java.util.Optional;
 import org.oriolewind.wire.CallAnswer;
@@ -11,16 +11,22 @@
  * @param version the backend server version of the latest sending
  * @param detail why there is no route, for a person
  */
-record CallResult(Kind kind, CallAnswer answer, Optional<String> version, String detail) {
+public record CallResult(Kind kind, CallAnswer answer, Optional<String> version, String detail) {
     /** What became of a call. */
-    enum Kind {
+    public enum Kind {
         /** No route covers the path. */
         NO_ROUTE,
         /** The call was sent, or refused on the way. */
         ENDED
     }
 
-    static CallResult noRoute(String path) {
+    /**
+     * Makes the result of a call that no route covers.
+     *
+     * @param path the call's path
+     * @return the result
+     */
+    public static CallResult noRoute(String path) {
         return new CallResult(
                 Kind.NO_ROUTE,
                 CallAnswer.getDefaultInstance(),
@@ -28,7 +34,14 @@
                 "no route covers " + path);
     }
 
-    static CallResult ended(CallAnswer answer, Optional<String> version) {
+    /**
+     * Makes the result of a call that a route covers.
+     *
+     * @param answer the answer, of the backend server or of the system
+     * @param version the backend server version of the latest sending
+     * @return the result
+     */
+    public static CallResult ended(CallAnswer answer, Optional<String> version) {
         return new CallResult(Kind.ENDED, answer, version, "");
     }
 }
--- a/oriolewind-node/src/main/java/org/oriolewind/node/call/CallerCall.java
+++ b/oriolewind-core/src/main/java/org/oriolewind/request/CallerCall.java
@@ -1,4 +1,4 @@
-package org.oriolewind.node.call;
+package org.oriolewind.request;
 
 import com.google.protobuf.ByteString;
 import java.util.List;
@@ -18,7 +18,7 @@
  * @param hops number of services that the call passed before
  * @param idempotencyKey the caller's key
  */
-record CallerCall(
+public record CallerCall(
         String id,
         String method,
         String path,
--- a/oriolewind-node/src/main/java/org/oriolewind/node/call/DispatchedCall.java
+++ b/oriolewind-core/src/main/java/org/oriolewind/request/DispatchedCall.java
@@ -1,10 +1,11 @@
-package org.oriolewind.node.call;
+package org.oriolewind.request;
 
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
 import org.oriolewind.config.MeshConfig;
+import org.oriolewind.config.Move;
 import org.oriolewind.config.RouteConfig;
 import org.oriolewind.config.ServiceConfig;
 import org.oriolewind.event.Event;
@@ -53,12 +54,12 @@
         mService = service;
         mCall = call;
         mDone = done;
-        mStartNanos = dispatcher.clock().monotonicNanos();
+        mStartNanos = dispatcher.services().clock().monotonicNanos();
         event(EventKind.CALL_BEGUN, null, mConfig.version(), null);
     }
 
     private long timeLeftMillis() {
-        return mCall.deadlineMillis() - mDispatcher.clock().monotonicMillis();
+        return mCall.deadlineMillis() - mDispatcher.services().clock().monotonicMillis();
     }
 
     void send() {
@@ -78,12 +79,21 @@
     private Optional<Member> chooseTarget() {
         mVersion =
                 VersionChooser.choose(
-                        mConfig.sharesAt(mService, mDispatcher.clock().instant()),
-                        version -> endpoint(version).isPresent(),
-                        mDispatcher.random());
+                        mConfig.sharesAt(mService, mDispatcher.services().clock().instant()),
+                        this::isUsable,
+                        mDispatcher.services().random());
         return mVersion.flatMap(this::endpoint);
     }
 
+    private boolean isUsable(String version) {
+        boolean stopped =
+                mConfig.activeMove(mService.name())
+                        .filter(move -> move.to().equals(version))
+                        .filter(mDispatcher.stops()::isStopped)
+                        .isPresent();
+        return !stopped && endpoint(version).isPresent();
+    }
+
     private Optional<Member> endpoint(String version) {
         return mDispatcher
                 .endpoints()
@@ -91,8 +101,8 @@
                         mDispatcher.directory().up(mService.name(), version),
                         mConfig,
                         mTried,
-                        mDispatcher.random(),
-                        mDispatcher.clock().monotonicMillis());
+                        mDispatcher.services().random(),
+                        mDispatcher.services().clock().monotonicMillis());
     }
 
     private void sendTo(Member target) {
@@ -122,7 +132,7 @@
     }
 
     private void onAnswer(Member target, PeerLoad load, CallAnswer answer) {
-        long now = mDispatcher.clock().monotonicMillis();
+        long now = mDispatcher.services().clock().monotonicMillis();
         load.onEnded();
         if (answer.getLimit() > 0) {
             load.onReport(answer.getLimit(), answer.getInFlight(), now);
@@ -145,7 +155,7 @@
                         timeLeftMillis(),
                         mDispatcher.retryBudget());
         if (again) {
-            mDispatcher.meters().onResend();
+            mDispatcher.services().meter().onResend();
             send();
         } else {
             end(answer);
@@ -153,25 +163,20 @@
     }
 
     private void countEvidence(CallAnswer answer) {
-        if (mConfig.activeMove(mService.name()).isEmpty()) {
+        Optional<Move> move = mConfig.activeMove(mService.name());
+        if (move.isEmpty()) {
             return;
         }
         EvidenceKey key = new EvidenceKey(mService.name(), mVersion.orElseThrow(), mRoute.name());
-        switch (answer.getOutcome()) {
-            case CALL_OUTCOME_ANSWERED ->
-                    mDispatcher
-                            .evidence()
-                            .addCall(
-                                    key,
-                                    answer.getStatus() >= SERVER_ERROR,
-                                    answer.getCold(),
-                                    answer.getServiceMicros());
-            case CALL_OUTCOME_UNKNOWN ->
-                    mDispatcher
-                            .evidence()
-                            .addCall(key, true, answer.getCold(), answer.getServiceMicros());
-            default -> mDispatcher.evidence().addRefusal(key);
+        if (answer.getOutcome() == CallOutcome.CALL_OUTCOME_NOT_RUN) {
+            mDispatcher.evidence().addRefusal(key);
+            return;
         }
+        boolean failed =
+                answer.getOutcome() == CallOutcome.CALL_OUTCOME_UNKNOWN
+                        || answer.getStatus() >= SERVER_ERROR;
+        mDispatcher.evidence().addCall(key, failed, answer.getCold(), answer.getServiceMicros());
+        mDispatcher.stops().onCall(move.get(), key, failed);
     }
 
     private void end(CallAnswer answer) {
@@ -186,13 +191,14 @@
                         ? answer.getNotRunReason().name()
                         : null;
         event(kind, null, answer.getStatus(), detail);
-        long nanos = mDispatcher.clock().monotonicNanos() - mStartNanos;
-        mDispatcher.meters().onEnded(answer.getOutcome(), nanos);
+        long nanos = mDispatcher.services().clock().monotonicNanos() - mStartNanos;
+        mDispatcher.services().meter().onEnded(answer.getOutcome(), nanos);
         mDone.accept(CallResult.ended(answer, mVersion));
     }
 
     private void event(EventKind kind, String peer, long value, String detail) {
         mDispatcher
+                .services()
                 .events()
                 .record(
                         mCall.id(),
--- a/oriolewind-node/src/main/java/org/oriolewind/node/call/GateService.java
+++ b/oriolewind-core/src/main/java/org/oriolewind/request/GateService.java
@@ -1,8 +1,7 @@
-package org.oriolewind.node.call;
+package org.oriolewind.request;
 
 import java.util.function.Consumer;
 import org.oriolewind.admission.Gate;
-import org.oriolewind.config.InstalledConfig;
 import org.oriolewind.config.MeshConfig;
 import org.oriolewind.event.Event;
 import org.oriolewind.event.EventKind;
@@ -16,27 +15,25 @@
  * Serves the calls for the backend server beside this node: checks that they belong here, passes
  * them through the gate and answers. Safe for use by several threads.
  */
-final class GateService {
-    private final Member mSelf;
+public final class GateService {
+    private final RequestServices mServices;
     private final Gate mGate;
-    private final BackendClient mBackend;
-    private final InstalledConfig mConfig;
-    private final NodeClock mClock;
-    private final CallEvents mEvents;
+    private final BackendPort mBackend;
     private final BackendSignals mSignals;
 
-    GateService(
-            NodeServices services,
-            Gate gate,
-            BackendClient backend,
-            CallEvents events,
-            BackendSignals signals) {
-        mSelf = services.self();
+    /**
+     * Creates a service.
+     *
+     * @param services what the parts of the request path share
+     * @param gate the gate in front of the backend server
+     * @param backend the backend server
+     * @param signals takes what calls show of the backend server
+     */
+    public GateService(
+            RequestServices services, Gate gate, BackendPort backend, BackendSignals signals) {
+        mServices = services;
         mGate = gate;
         mBackend = backend;
-        mConfig = services.config();
-        mClock = services.clock();
-        mEvents = events;
         mSignals = signals;
     }
 
@@ -45,10 +42,10 @@
     }
 
     NodeClock clock() {
-        return mClock;
+        return mServices.clock();
     }
 
-    BackendClient backend() {
+    BackendPort backend() {
         return mBackend;
     }
 
@@ -56,8 +53,14 @@
         return mSignals;
     }
 
-    /** Serves a call; the answer comes once, on any thread. */
-    Cancellable serve(CallRequest request, Consumer<CallAnswer> done) {
+    /**
+     * Serves a call.
+     *
+     * @param request the call
+     * @param done called once with the answer, on any thread
+     * @return gives the call up
+     */
+    public Cancellable serve(CallRequest request, Consumer<CallAnswer> done) {
         NotRunReason refusal = refusal(request);
         if (refusal != NotRunReason.NOT_RUN_REASON_UNSPECIFIED) {
             refused(request, refusal);
@@ -70,30 +73,35 @@
     }
 
     private NotRunReason refusal(CallRequest request) {
-        MeshConfig config = mConfig.current();
-        if (!request.getService().equals(mSelf.getService())
-                || !request.getServiceVersion().equals(mSelf.getServiceVersion())) {
+        MeshConfig config = mServices.config().current();
+        Member self = mServices.self();
+        if (!request.getService().equals(self.getService())
+                || !request.getServiceVersion().equals(self.getServiceVersion())) {
             return NotRunReason.NOT_RUN_REASON_WRONG_TARGET;
         }
-        if (config.dataCentresOut().contains(mSelf.getDataCentre())) {
+        if (config.dataCentresOut().contains(self.getDataCentre())) {
             return NotRunReason.NOT_RUN_REASON_DATA_CENTRE_OUT;
         }
-        if (config.drainedNodes().contains(mSelf.getNode())) {
+        if (config.drainedNodes().contains(self.getNode())) {
             return NotRunReason.NOT_RUN_REASON_LEAVING;
         }
         return NotRunReason.NOT_RUN_REASON_UNSPECIFIED;
     }
 
     void refused(CallRequest request, NotRunReason reason) {
-        mEvents.record(
-                request.getCallId(),
-                () -> event(EventKind.CALL_REFUSED, request, 0, reason.name()));
+        mServices
+                .events()
+                .record(
+                        request.getCallId(),
+                        () -> event(EventKind.CALL_REFUSED, request, 0, reason.name()));
     }
 
     void handedOver(CallRequest request, int inFlight) {
-        mEvents.record(
-                request.getCallId(),
-                () -> event(EventKind.CALL_HANDED_OVER, request, inFlight, null));
+        mServices
+                .events()
+                .record(
+                        request.getCallId(),
+                        () -> event(EventKind.CALL_HANDED_OVER, request, inFlight, null));
     }
 
     private Event event(EventKind kind, CallRequest request, long value, String detail) {
@@ -103,7 +111,7 @@
                 request.getService(),
                 request.getServiceVersion(),
                 request.getRoute(),
-                mSelf.getNode(),
+                mServices.self().getNode(),
                 value,
                 detail);
     }
--- /dev/null
+++ b/oriolewind-core/src/main/java/org/oriolewind/request/PeerPort.java
@@ -0,0 +1,19 @@
+package org.oriolewind.request;
+
+import java.util.function.Consumer;
+import org.oriolewind.wire.CallAnswer;
+import org.oriolewind.wire.CallRequest;
+
+/** Sends calls to other nodes. Implementations never block and are safe for several threads. */
+@FunctionalInterface
+public interface PeerPort {
+    /**
+     * Sends a call.
+     *
+     * @param peerAddress the other node's peer address
+     * @param request the call
+     * @param done called once with the answer; it says {@code not run} only if that is certain
+     * @return gives the call up
+     */
+    Cancellable send(String peerAddress, CallRequest request, Consumer<CallAnswer> done);
+}
--- a/oriolewind-node/src/main/java/org/oriolewind/node/call/ServedCall.java
+++ b/oriolewind-core/src/main/java/org/oriolewind/request/ServedCall.java
@@ -1,14 +1,14 @@
-package org.oriolewind.node.call;
+package org.oriolewind.request;
 
-import com.google.protobuf.UnsafeByteOperations;
+import com.google.protobuf.ByteString;
+import java.util.List;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Consumer;
-import org.eclipse.jetty.http.HttpField;
-import org.eclipse.jetty.http.HttpFields;
 import org.oriolewind.admission.GateCall;
 import org.oriolewind.wire.CallAnswer;
 import org.oriolewind.wire.CallOutcome;
 import org.oriolewind.wire.CallRequest;
+import org.oriolewind.wire.Header;
 import org.oriolewind.wire.NotRunReason;
 
 /**
@@ -18,7 +18,7 @@
  * over, could not be sent at all, or was refused by the backend server itself. Safe for use by
  * several threads.
  */
-final class ServedCall implements GateCall, Cancellable, BackendClient.Listener {
+final class ServedCall implements GateCall, Cancellable, BackendPort.Listener {
     private static final long NANOS_PER_MICRO = 1000;
 
     private final GateService mService;
@@ -93,31 +93,24 @@
     }
 
     @Override
-    public void onAnswer(int status, HttpFields headers, byte[] body) {
-        String refusal = headers.get(CallHeaders.NOT_RUN);
+    public void onAnswer(int status, List<Header> headers, ByteString body) {
         long micros = serviceMicros();
-        leave(refusal != null);
-        if (refusal != null) {
-            onRefusedByBackend(refusal);
-            return;
-        }
+        leave(false);
         mService.signals().onAnswered();
         CallAnswer.Builder answer =
                 CallAnswer.newBuilder()
                         .setOutcome(CallOutcome.CALL_OUTCOME_ANSWERED)
                         .setStatus(status)
-                        .setBody(UnsafeByteOperations.unsafeWrap(body))
+                        .addAllHeaders(headers)
+                        .setBody(body)
                         .setServiceMicros(micros);
-        for (HttpField field : headers) {
-            if (BackendClient.passesOn(field)) {
-                answer.addHeaders(BackendClient.header(field));
-            }
-        }
         mDone.accept(mService.withLoad(answer));
     }
 
-    private void onRefusedByBackend(String refusal) {
-        if (refusal.equals(CallHeaders.DRAINING)) {
+    @Override
+    public void onRefused(boolean draining) {
+        leave(true);
+        if (draining) {
             mService.signals().onDraining();
             onRefused(NotRunReason.NOT_RUN_REASON_LEAVING);
         } else {
--- a/oriolewind-core/src/main/java/org/oriolewind/routing/RetryRule.java
+++ b/oriolewind-core/src/main/java/org/oriolewind/routing/RetryRule.java
@@ -6,7 +6,8 @@
 
 /**
  * Decides whether a call is sent again. A call that was not run may go elsewhere; one whose end is
- * not known may do so only if its route is idempotent. Stateless.
+ * not known may do so only if its route is idempotent. The first refusal costs no retry, since a
+ * refusal costs the backend server nothing. Stateless.
  */
 public final class RetryRule {
     /** The most times that one call is sent. */
@@ -34,8 +35,8 @@
             return false;
         }
         if (answer.getOutcome() == CallOutcome.CALL_OUTCOME_NOT_RUN) {
-            return mayGoElsewhere(answer.getNotRunReason())
-                    && (isFree(answer.getNotRunReason()) || budget.tryRetry());
+            boolean free = sends == 1 || isFree(answer.getNotRunReason());
+            return mayGoElsewhere(answer.getNotRunReason()) && (free || budget.tryRetry());
         }
         boolean unknown = answer.getOutcome() == CallOutcome.CALL_OUTCOME_UNKNOWN;
         return unknown && idempotent && budget.tryRetry();
--- /dev/null
+++ b/oriolewind-core/src/test/java/org/oriolewind/request/FakeCallNetwork.java
@@ -0,0 +1,190 @@
+package org.oriolewind.request;
+
+import com.google.protobuf.ByteString;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.function.Consumer;
+import org.oriolewind.admission.Gate;
+import org.oriolewind.admission.GateSettings;
+import org.oriolewind.admission.LimitRule;
+import org.oriolewind.config.InstalledConfig;
+import org.oriolewind.config.TestNotes;
+import org.oriolewind.membership.MemberTable;
+import org.oriolewind.rollout.EvidenceCollector;
+import org.oriolewind.rollout.LocalStops;
+import org.oriolewind.routing.RetryBudget;
+import org.oriolewind.time.FakeClock;
+import org.oriolewind.wire.CallAnswer;
+import org.oriolewind.wire.CallRequest;
+import org.oriolewind.wire.Member;
+import org.oriolewind.wire.MemberState;
+import org.oriolewind.wire.NotRunReason;
+
+/**
+ * A few request paths joined by a network that fails at every step of a call, as its seed has it.
+ * Counts how often each call ran.
+ */
+final class FakeCallNetwork {
+    final FakeClock mClock = new FakeClock();
+    final Map<String, Integer> mRuns = new HashMap<>();
+    final List<FakeCallNode> mNodes = new ArrayList<>();
+    private final Random mRandom;
+    private final double mFaultShare;
+    private final PriorityQueue<Work> mQueue = new PriorityQueue<>();
+    private long mOrder;
+
+    private record Work(long atMillis, long order, Runnable run) implements Comparable<Work> {
+        @Override
+        public int compareTo(Work other) {
+            int byTime = Long.compare(atMillis, other.atMillis);
+            return byTime != 0 ? byTime : Long.compare(order, other.order);
+        }
+    }
+
+    FakeCallNetwork(long seed, int nodes, double faultShare) throws Exception {
+        mRandom = new Random(seed);
+        mFaultShare = faultShare;
+        InstalledConfig config = new InstalledConfig();
+        config.install(TestNotes.base());
+        MemberTable members = new MemberTable();
+        for (int i = 0; i < nodes; i++) {
+            Member member =
+                    Member.newBuilder()
+                            .setNode("n" + i)
+                            .setIncarnation(1)
+                            .setSequence(1)
+                            .setState(MemberState.MEMBER_STATE_UP)
+                            .setDataCentre("dc" + i % 2)
+                            .setService(i % 2 == 0 || i % 3 == 0 ? "press" : "holders")
+                            .setServiceVersion("v1")
+                            .setPeerAddress("n" + i)
+                            .build();
+            members.merge(List.of(member), 0);
+            mNodes.add(new FakeCallNode(this, member, config, members));
+        }
+    }
+
+    /** One node: its gate, its backend server and its dispatcher. */
+    static final class FakeCallNode implements BackendPort {
+        final Member mMember;
+        final GateService mGate;
+        final CallDispatcher mDispatcher;
+        private final FakeCallNetwork mNetwork;
+
+        FakeCallNode(
+                FakeCallNetwork network,
+                Member member,
+                InstalledConfig config,
+                MemberTable members) {
+            mNetwork = network;
+            mMember = member;
+            FakeClock clock = network.mClock;
+            RequestServices services =
+                    new RequestServices(
+                            member,
+                            clock,
+                            network.mRandom,
+                            config,
+                            new CallEvents(event -> {}, 0),
+                            CallMeter.NONE);
+            GateSettings settings =
+                    new GateSettings(LimitRule.ADDITIVE, 2, 1, 8, 4, Duration.ofMillis(50));
+            mGate =
+                    new GateService(
+                            services, new Gate(settings, clock), this, new BackendSignals(clock));
+            mDispatcher =
+                    new CallDispatcher(
+                            services,
+                            members::directory,
+                            new RetryBudget(0.5, 20),
+                            mGate,
+                            network::send,
+                            new EvidenceCollector(),
+                            new LocalStops(event -> {}));
+        }
+
+        @Override
+        public Cancellable send(CallRequest call, long timeoutMillis, Listener listener) {
+            return mNetwork.backend(call, listener);
+        }
+    }
+
+    private boolean fault() {
+        return mRandom.nextDouble() < mFaultShare;
+    }
+
+    void after(long millis, Runnable run) {
+        mQueue.add(new Work(mClock.monotonicMillis() + millis, mOrder++, run));
+    }
+
+    void run(long millis) {
+        long end = mClock.monotonicMillis() + millis;
+        while (!mQueue.isEmpty() && mQueue.peek().atMillis() <= end) {
+            Work work = mQueue.poll();
+            mClock.advanceMillis(work.atMillis() - mClock.monotonicMillis());
+            work.run().run();
+            mNodes.forEach(node -> node.mGate.gate().tick());
+        }
+        mClock.advanceMillis(Math.max(0, end - mClock.monotonicMillis()));
+        mNodes.forEach(node -> node.mGate.gate().tick());
+    }
+
+    /** The way to another node, which fails before sending, half way, or on the way back. */
+    private Cancellable send(String address, CallRequest request, Consumer<CallAnswer> done) {
+        FakeCallNode target = mNodes.get(Integer.parseInt(address.substring(1)));
+        if (fault()) {
+            after(1, () -> done.accept(unreachable()));
+            return () -> {};
+        }
+        if (fault()) {
+            // Lost on the way there: the sender can't know.
+            after(5, () -> done.accept(CallAnswers.unknown()));
+            return () -> {};
+        }
+        after(1 + mRandom.nextInt(3), () -> serve(target, request, done));
+        return () -> {};
+    }
+
+    private void serve(FakeCallNode target, CallRequest request, Consumer<CallAnswer> done) {
+        target.mGate.serve(
+                request,
+                answer -> {
+                    CallAnswer result = fault() ? CallAnswers.unknown() : answer;
+                    after(1 + mRandom.nextInt(20), () -> done.accept(result));
+                });
+    }
+
+    private static CallAnswer unreachable() {
+        return CallAnswers.notRun(NotRunReason.NOT_RUN_REASON_UNREACHABLE);
+    }
+
+    /** A backend server that fails before, while and after it runs a call. */
+    private Cancellable backend(CallRequest call, BackendPort.Listener listener) {
+        if (fault()) {
+            after(1, () -> listener.onFailure(false, false));
+        } else if (fault()) {
+            after(1, () -> listener.onRefused(mRandom.nextBoolean()));
+        } else if (fault()) {
+            after(5, () -> listener.onFailure(true, mRandom.nextBoolean()));
+        } else {
+            after(1 + mRandom.nextInt(10), () -> runCall(call, listener));
+        }
+        return () -> {};
+    }
+
+    private void runCall(CallRequest call, BackendPort.Listener listener) {
+        mRuns.merge(call.getCallId(), 1, Integer::sum);
+        if (fault()) {
+            // It ran, but its answer, or half of it, is lost.
+            listener.onFailure(true, false);
+            return;
+        }
+        int status = fault() ? 500 : 200;
+        listener.onAnswer(status, List.of(), ByteString.copyFromUtf8("done " + call.getCallId()));
+    }
+}
--- a/oriolewind-node/src/main/java/org/oriolewind/node/BackendMonitor.java
+++ b/oriolewind-node/src/main/java/org/oriolewind/node/BackendMonitor.java
@@ -5,7 +5,7 @@
 import java.util.function.Consumer;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.client.Request;
-import org.oriolewind.node.call.BackendSignals;
+import org.oriolewind.request.BackendSignals;
 import org.oriolewind.time.NodeClock;
 
 /**
--- a/oriolewind-node/src/main/java/org/oriolewind/node/ControlRuntime.java
+++ b/oriolewind-node/src/main/java/org/oriolewind/node/ControlRuntime.java
@@ -93,9 +93,15 @@
         mThread.offer(() -> mNode.onNewerVersionHeard(peerAddress, version));
     }
 
-    @Override
-    public void close() {
+    /** Stops all work but leaves the connections open, as a process does that hangs. */
+    public void freeze() {
         mThread.close();
         mPlatform.close();
     }
+
+    @Override
+    public void close() {
+        freeze();
+        mLinks.closeAll();
+    }
 }
--- a/oriolewind-node/src/main/java/org/oriolewind/node/SettingName.java
+++ b/oriolewind-node/src/main/java/org/oriolewind/node/SettingName.java
@@ -29,9 +29,9 @@
     /** Tree fan-out. */
     MAX_CHILDREN("NUMBER", "8", "most children in the control tree"),
     /** Heartbeats. */
-    HEARTBEAT_INTERVAL_MILLIS("NUMBER", "2000", "time between heartbeats on a control link"),
+    HEARTBEAT_INTERVAL_MILLIS("NUMBER", "1000", "time between heartbeats on a control link"),
     /** Heartbeat timeout. */
-    HEARTBEAT_TIMEOUT_MILLIS("NUMBER", "6000", "silence after which a control link is given up"),
+    HEARTBEAT_TIMEOUT_MILLIS("NUMBER", "3000", "silence after which a control link is given up"),
     /** Liveness checks. */
     PROBE_INTERVAL_MILLIS("NUMBER", "4000", "time between liveness checks of a random node"),
     /** Lease duration. */
--- a/oriolewind-node/src/main/java/org/oriolewind/node/call/BackendClient.java
+++ b/oriolewind-node/src/main/java/org/oriolewind/node/call/BackendClient.java
@@ -1,5 +1,9 @@
 package org.oriolewind.node.call;
 
+import com.google.protobuf.ByteString;
+import com.google.protobuf.UnsafeByteOperations;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
@@ -7,17 +11,19 @@
 import org.eclipse.jetty.client.BytesRequestContent;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.client.Request;
+import org.eclipse.jetty.client.Response;
 import org.eclipse.jetty.client.Result;
 import org.eclipse.jetty.http.HttpField;
-import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpHeader;
+import org.oriolewind.request.BackendPort;
+import org.oriolewind.request.Cancellable;
 import org.oriolewind.wire.CallRequest;
 import org.oriolewind.wire.Header;
 
 /**
  * Hands calls to the backend server beside this node over HTTP. Safe for use by several threads.
  */
-final class BackendClient {
+final class BackendClient implements BackendPort {
     private static final Set<String> HOP_HEADERS =
             Set.of(
                     "connection",
@@ -42,25 +48,12 @@
         mMaxBodyBytes = maxBodyBytes;
     }
 
-    /** Takes the end of a call at the backend server. Exactly one method is called, once. */
-    interface Listener {
-        /** The answer is whole. */
-        void onAnswer(int status, HttpFields headers, byte[] body);
-
-        /**
-         * There is no whole answer.
-         *
-         * @param sent whether any part of the call may have reached the backend server
-         * @param timedOut whether the time ran out
-         */
-        void onFailure(boolean sent, boolean timedOut);
-    }
-
     static boolean isHopHeader(String name) {
         return HOP_HEADERS.contains(name.toLowerCase(java.util.Locale.ROOT));
     }
 
-    Cancellable send(CallRequest call, long timeoutMillis, Listener listener) {
+    @Override
+    public Cancellable send(CallRequest call, long timeoutMillis, Listener listener) {
         Request request = mClient.newRequest(mBaseUrl + call.getPath());
         request.method(call.getMethod());
         request.headers(
@@ -95,15 +88,30 @@
         @Override
         public void onComplete(Result result) {
             if (result.isSucceeded()) {
-                byte[] body = getContent();
-                mListener.onAnswer(
-                        result.getResponse().getStatus(),
-                        result.getResponse().getHeaders(),
-                        body == null ? new byte[0] : body);
+                onWhole(result.getResponse());
                 return;
             }
             mListener.onFailure(mBegun, result.getFailure() instanceof TimeoutException);
         }
+
+        private void onWhole(Response response) {
+            String refusal = response.getHeaders().get(CallHeaders.NOT_RUN);
+            if (refusal != null) {
+                mListener.onRefused(refusal.equals(CallHeaders.DRAINING));
+                return;
+            }
+            List<Header> headers = new ArrayList<>();
+            for (HttpField field : response.getHeaders()) {
+                if (passesOn(field)) {
+                    headers.add(header(field));
+                }
+            }
+            byte[] body = getContent();
+            mListener.onAnswer(
+                    response.getStatus(),
+                    headers,
+                    body == null ? ByteString.EMPTY : UnsafeByteOperations.unsafeWrap(body));
+        }
     }
 
     static Header header(HttpField field) {
--- a/oriolewind-node/src/main/java/org/oriolewind/node/call/CallMeters.java
+++ b/oriolewind-node/src/main/java/org/oriolewind/node/call/CallMeters.java
@@ -5,10 +5,11 @@
 import com.codahale.metrics.Timer;
 import java.util.EnumMap;
 import java.util.Map;
+import org.oriolewind.request.CallMeter;
 import org.oriolewind.wire.CallOutcome;
 
 /** Metrics of the request path. Safe for use by several threads. */
-final class CallMeters {
+final class CallMeters implements CallMeter {
     private final Map<CallOutcome, Meter> mOutcomes = new EnumMap<>(CallOutcome.class);
     private final Meter mResends;
     private final Timer mDuration;
@@ -24,12 +25,14 @@
         mDuration = registry.timer("calls.duration");
     }
 
-    void onEnded(CallOutcome outcome, long nanos) {
+    @Override
+    public void onEnded(CallOutcome outcome, long nanos) {
         mOutcomes.get(outcome).mark();
         mDuration.update(nanos, java.util.concurrent.TimeUnit.NANOSECONDS);
     }
 
-    void onResend() {
+    @Override
+    public void onResend() {
         mResends.mark();
     }
 }
--- a/oriolewind-node/src/main/java/org/oriolewind/node/call/PeerCallLink.java
+++ b/oriolewind-node/src/main/java/org/oriolewind/node/call/PeerCallLink.java
@@ -10,6 +10,8 @@
 import org.oriolewind.node.peer.PeerConnection;
 import org.oriolewind.node.peer.PeerListener;
 import org.oriolewind.node.peer.PeerTransport;
+import org.oriolewind.request.CallAnswers;
+import org.oriolewind.request.Cancellable;
 import org.oriolewind.time.NodeClock;
 import org.oriolewind.wire.CallAnswer;
 import org.oriolewind.wire.CallCancel;
--- a/oriolewind-node/src/main/java/org/oriolewind/node/call/PeerCalls.java
+++ b/oriolewind-node/src/main/java/org/oriolewind/node/call/PeerCalls.java
@@ -7,6 +7,9 @@
 import java.util.function.Consumer;
 import org.oriolewind.node.peer.PeerAddress;
 import org.oriolewind.node.peer.PeerTransport;
+import org.oriolewind.request.CallAnswers;
+import org.oriolewind.request.Cancellable;
+import org.oriolewind.request.PeerPort;
 import org.oriolewind.time.NodeClock;
 import org.oriolewind.wire.CallAnswer;
 import org.oriolewind.wire.CallRequest;
@@ -14,7 +17,7 @@
 import org.oriolewind.wire.NotRunReason;
 
 /** Sends calls to other nodes, over one connection to each. Safe for use by several threads. */
-final class PeerCalls {
+final class PeerCalls implements PeerPort {
     private final PeerTransport mTransport;
     private final Member mSelf;
     private final FrameStamp mStamp;
@@ -30,8 +33,8 @@
         mMaxStreams = maxStreams;
     }
 
-    /** Sends a call; the answer comes once, on any thread. */
-    Cancellable send(String peerAddress, CallRequest request, Consumer<CallAnswer> done) {
+    @Override
+    public Cancellable send(String peerAddress, CallRequest request, Consumer<CallAnswer> done) {
         Optional<InetSocketAddress> address = PeerAddress.parse(peerAddress);
         if (address.isEmpty()) {
             done.accept(CallAnswers.notRun(NotRunReason.NOT_RUN_REASON_UNREACHABLE));
--- a/oriolewind-node/src/main/java/org/oriolewind/node/call/RequestPath.java
+++ b/oriolewind-node/src/main/java/org/oriolewind/node/call/RequestPath.java
@@ -10,7 +10,13 @@
 import org.oriolewind.admission.GateSettings;
 import org.oriolewind.membership.MemberDirectory;
 import org.oriolewind.node.peer.PeerListener;
+import org.oriolewind.request.BackendSignals;
+import org.oriolewind.request.CallDispatcher;
+import org.oriolewind.request.CallEvents;
+import org.oriolewind.request.GateService;
+import org.oriolewind.request.RequestServices;
 import org.oriolewind.rollout.EvidenceCollector;
+import org.oriolewind.rollout.LocalStops;
 import org.oriolewind.routing.RetryBudget;
 
 /**
@@ -47,24 +53,31 @@
             BooleanSupplier ready,
             ObjLongConsumer<String> onNewerVersion,
             EvidenceCollector evidence) {
-        CallEvents callEvents = new CallEvents(services.events(), limits.callEventShare());
+        RequestServices request =
+                new RequestServices(
+                        services.self(),
+                        services.clock(),
+                        ThreadRandom.INSTANCE,
+                        services.config(),
+                        new CallEvents(services.events(), limits.callEventShare()),
+                        new CallMeters(services.registry()));
         FrameStamp stamp = new FrameStamp(services.config(), services.hybrid(), onNewerVersion);
         mGate = new Gate(gateSettings, services.clock());
         mSignals = new BackendSignals(services.clock());
         BackendClient backend =
                 new BackendClient(services.httpClient(), backendAddress, limits.maxBodyBytes());
-        GateService gateService = new GateService(services, mGate, backend, callEvents, mSignals);
+        GateService gateService = new GateService(request, mGate, backend, mSignals);
         mPeers = new PeerCalls(services, stamp, limits.maxStreams());
         mPeerServer = new PeerCallServer(gateService, stamp, limits.maxStreams());
         CallDispatcher dispatcher =
                 new CallDispatcher(
-                        services,
+                        request,
                         directory,
                         new RetryBudget(limits.retriesPerCall(), MAX_SAVED_RETRIES),
                         gateService,
                         mPeers,
                         evidence,
-                        callEvents);
+                        new LocalStops(services.events()));
         mCallerHandler = new CallerHandler(dispatcher, services.clock(), ready, limits);
         registerGauges(services.registry());
     }
--- a/oriolewind-node/src/main/java/org/oriolewind/node/peer/ControlLinks.java
+++ b/oriolewind-node/src/main/java/org/oriolewind/node/peer/ControlLinks.java
@@ -89,4 +89,10 @@
             mControl.execute(() -> mNode.onClosed(connection.id()));
         }
     }
+
+    /** Closes all connections. */
+    public void closeAll() {
+        mOpen.values().forEach(PeerConnection::abort);
+        mOpen.clear();
+    }
 }
