--- /dev/null
+++ b/oriolewind-bench/src/main/java/org/oriolewind/bench/ManualClock.java
@@ -0,0 +1,25 @@
+package org.oriolewind.bench;
+
+import java.time.Instant;
+import org.oriolewind.time.NodeClock;
+
+/** A clock that a simulation moves. Not safe for use by several threads. */
+final class ManualClock implements NodeClock {
+    private static final Instant START = Instant.parse("2026-01-01T00:00:00Z");
+
+    private long mNanos;
+
+    void setNanos(long nanos) {
+        mNanos = nanos;
+    }
+
+    @Override
+    public Instant instant() {
+        return START.plusNanos(mNanos);
+    }
+
+    @Override
+    public long monotonicNanos() {
+        return mNanos;
+    }
+}
--- /dev/null
+++ b/oriolewind-bench/src/main/java/org/oriolewind/bench/RequestBench.java
@@ -0,0 +1,329 @@
+package org.oriolewind.bench;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import org.oriolewind.standins.backend.Behaviour;
+import org.oriolewind.standins.caller.CallCounts;
+import org.oriolewind.standins.caller.CallKind;
+import org.oriolewind.standins.quickstart.MeshProcesses.NodeProcess;
+import org.oriolewind.standins.quickstart.MeshQueries;
+
+/**
+ * Measures the request path with real processes: {@code RequestBench latency}, {@code data-centre},
+ * {@code kill}, {@code cold} or {@code drain}.
+ */
+public final class RequestBench {
+    private static final String NOTE =
+            """
+            {"id": "first",
+             "services": {"added": [{"name": "registry", "shares": {"v1": 100}},
+                                    {"name": "press", "shares": {"v1": 100}}]},
+             "routes": {"added": [
+               {"name": "lookup", "path": "/lookup", "service": "registry", "idempotent": true},
+               {"name": "print", "path": "/print", "service": "press", "idempotent": false}]}}
+            """;
+    private static final List<String> DATA_CENTRES = List.of("ikeja", "yaba", "surulere", "agege");
+    private static final int SLOTS = 6;
+    private static final int SERVICE_MILLIS = 20;
+    private static final double WARM_UP_SECONDS = 12;
+
+    private RequestBench() {}
+
+    /** A measurement. */
+    private enum Scenario {
+        LATENCY {
+            @Override
+            void run(BenchMesh mesh) throws Exception {
+                latency(mesh);
+            }
+        },
+        DATA_CENTRE {
+            @Override
+            void run(BenchMesh mesh) throws Exception {
+                dataCentre(mesh);
+            }
+        },
+        KILL {
+            @Override
+            void run(BenchMesh mesh) throws Exception {
+                kill(mesh);
+            }
+        },
+        COLD {
+            @Override
+            void run(BenchMesh mesh) throws Exception {
+                cold(mesh);
+            }
+        },
+        DRAIN {
+            @Override
+            void run(BenchMesh mesh) throws Exception {
+                drain(mesh);
+            }
+        };
+
+        abstract void run(BenchMesh mesh) throws Exception;
+    }
+
+    /**
+     * Runs one measurement.
+     *
+     * @param args the measurement's name
+     * @throws Exception if a process can't be started
+     */
+    public static void main(String[] args) throws Exception {
+        String name = args[0].toUpperCase(Locale.ROOT).replace('-', '_');
+        try (BenchMesh mesh = new BenchMesh()) {
+            Scenario.valueOf(name).run(mesh);
+        }
+        System.exit(0);
+    }
+
+    private static List<String> callerUrls(BenchMesh mesh) {
+        return mesh.nodes().stream().map(NodeProcess::callerUrl).toList();
+    }
+
+    /** Two-node calls against direct calls, at the same time and the same rate. */
+    private static void latency(BenchMesh mesh) throws Exception {
+        Behaviour behaviour = Behaviour.good(64, 2);
+        mesh.addNode("a-registry", "ikeja", "registry", behaviour);
+        mesh.addNode("b-registry", "ikeja", "registry", behaviour);
+        mesh.addNode("c-press", "ikeja", "press", behaviour);
+        mesh.start(NOTE, List.of("--gate-initial-limit", "32"));
+        List<String> entry = List.of(mesh.nodes().get(2).callerUrl());
+        List<String> direct =
+                mesh.nodes().subList(0, 2).stream().map(NodeProcess::backendUrl).toList();
+        for (double rate : new double[] {200, 200, 500, 1000}) {
+            CallKind kind = new CallKind("GET", "/lookup", rate, true);
+            double cpuBefore = cpuSeconds(mesh);
+            LoadThread throughNodes = new LoadThread(mesh, "nodes" + rate, entry, kind);
+            LoadThread directly = new LoadThread(mesh, "direct" + rate, direct, kind);
+            CallCounts nodes = throughNodes.await();
+            CallCounts plain = directly.await();
+            double cpu = cpuSeconds(mesh) - cpuBefore;
+            BenchMesh.print("direct " + rate + "/s", kind, plain);
+            BenchMesh.print("two nodes " + rate + "/s", kind, nodes);
+            System.out.printf(
+                    "added: median %.2f ms, p99 %.2f ms; processor %.0f us a call over its two"
+                            + " nodes%n",
+                    (nodes.micros().getValueAtPercentile(50)
+                                    - plain.micros().getValueAtPercentile(50))
+                            / 1000.0,
+                    (nodes.micros().getValueAtPercentile(99)
+                                    - plain.micros().getValueAtPercentile(99))
+                            / 1000.0,
+                    cpu * 1e6 / nodes.made());
+        }
+    }
+
+    private static double cpuSeconds(BenchMesh mesh) {
+        return mesh.nodes().stream()
+                .map(node -> mesh.process(node.name()).info().totalCpuDuration())
+                .mapToDouble(d -> d.orElseThrow().toMillis() / 1000.0)
+                .sum();
+    }
+
+    /** Makes calls on a thread of its own. */
+    private static final class LoadThread {
+        private final Thread mThread;
+        private volatile CallCounts mCounts;
+
+        LoadThread(BenchMesh mesh, String name, List<String> urls, CallKind kind) {
+            mThread =
+                    new Thread(
+                            () -> {
+                                try {
+                                    mCounts = mesh.load(name, 15, urls, List.of(kind)).get(0);
+                                } catch (InterruptedException e) {
+                                    Thread.currentThread().interrupt();
+                                }
+                            });
+            mThread.start();
+        }
+
+        CallCounts await() throws InterruptedException {
+            mThread.join();
+            return mCounts;
+        }
+    }
+
+    private static void addBadgeWorks(BenchMesh mesh) throws IOException {
+        Behaviour behaviour = Behaviour.good(SLOTS, SERVICE_MILLIS);
+        for (String dataCentre : DATA_CENTRES) {
+            mesh.addNode(dataCentre + "-registry", dataCentre, "registry", behaviour);
+            mesh.addNode(dataCentre + "-press", dataCentre, "press", behaviour);
+        }
+    }
+
+    /** Lookups and prints that take a share of what four upstreams each bear. */
+    private static List<CallKind> mondayLoad(double share) {
+        double capacity = DATA_CENTRES.size() * SLOTS * 1000.0 / SERVICE_MILLIS;
+        return List.of(
+                new CallKind("GET", "/lookup", capacity * share, true),
+                new CallKind("POST", "/print", capacity * share, false));
+    }
+
+    private static void phase(
+            BenchMesh mesh,
+            String name,
+            double seconds,
+            List<String> urls,
+            List<CallKind> kinds,
+            List<CallCounts> prints)
+            throws InterruptedException {
+        List<CallCounts> counts = mesh.load(name, seconds, urls, kinds);
+        for (int i = 0; i < kinds.size(); i++) {
+            BenchMesh.print(name, kinds.get(i), counts.get(i));
+        }
+        prints.add(counts.get(1));
+    }
+
+    private static void dataCentre(BenchMesh mesh) throws Exception {
+        addBadgeWorks(mesh);
+        mesh.start(NOTE, List.of());
+        List<CallKind> kinds = mondayLoad(0.6);
+        List<CallCounts> prints = new ArrayList<>();
+        List<String> urls = callerUrls(mesh);
+        phase(mesh, "warm-up", WARM_UP_SECONDS, urls, kinds, prints);
+        phase(mesh, "before", 10, urls, kinds, prints);
+        Thread out = later(mesh, "out");
+        phase(mesh, "out", 10, urls, kinds, prints);
+        out.join();
+        phase(mesh, "while out", 10, urls, kinds, prints);
+        Thread in = later(mesh, "in");
+        phase(mesh, "back", 10, urls, kinds, prints);
+        in.join();
+        phase(mesh, "after", 10, urls, kinds, prints);
+        mesh.printRuns(prints);
+    }
+
+    /** Moves a data centre two seconds into a phase and tells when work stops or starts there. */
+    private static Thread later(BenchMesh mesh, String direction) {
+        Thread thread =
+                new Thread(
+                        () -> {
+                            try {
+                                Thread.sleep(2000);
+                                mesh.cli("data-centre", direction, "yaba");
+                                watchWork(mesh, "yaba");
+                            } catch (Exception e) {
+                                System.out.println(e);
+                            }
+                        });
+        thread.start();
+        return thread;
+    }
+
+    private static void watchWork(BenchMesh mesh, String dataCentre) throws Exception {
+        StringBuilder line = new StringBuilder("runs in " + dataCentre + " each 200 ms:");
+        long last = runs(mesh, dataCentre);
+        for (int i = 0; i < 20; i++) {
+            Thread.sleep(200);
+            long now = runs(mesh, dataCentre);
+            line.append(' ').append(now - last);
+            last = now;
+        }
+        System.out.println(line);
+    }
+
+    private static long runs(BenchMesh mesh, String dataCentre) throws IOException {
+        long runs = 0;
+        for (NodeProcess node : mesh.nodes()) {
+            if (node.dataCentre().equals(dataCentre)) {
+                runs +=
+                        MeshQueries.getJson(node.backendUrl() + "/control/total")
+                                .path("runs")
+                                .asLong();
+            }
+        }
+        return runs;
+    }
+
+    private static void kill(BenchMesh mesh) throws Exception {
+        Behaviour behaviour = Behaviour.good(SLOTS, SERVICE_MILLIS);
+        for (String dataCentre : DATA_CENTRES.subList(0, 3)) {
+            for (int i = 0; i < 2; i++) {
+                mesh.addNode(dataCentre + "-registry-" + i, dataCentre, "registry", behaviour);
+                mesh.addNode(dataCentre + "-press-" + i, dataCentre, "press", behaviour);
+            }
+        }
+        mesh.start(NOTE, List.of());
+        List<CallKind> kinds = mondayLoad(0.5);
+        List<CallCounts> prints = new ArrayList<>();
+        // Callers stay with nodes that live; the others' callers would see a refused connection.
+        List<String> urls =
+                mesh.nodes().stream()
+                        .filter(node -> node.name().endsWith("0"))
+                        .map(NodeProcess::callerUrl)
+                        .toList();
+        phase(mesh, "warm-up", WARM_UP_SECONDS, urls, kinds, prints);
+        phase(mesh, "before", 10, urls, kinds, prints);
+        Thread killer =
+                new Thread(
+                        () -> {
+                            sleep(2000);
+                            mesh.nodes().stream()
+                                    .filter(node -> node.name().endsWith("1"))
+                                    .filter(node -> !node.dataCentre().equals("surulere"))
+                                    .forEach(n -> mesh.process(n.name()).destroyForcibly());
+                        });
+        killer.start();
+        phase(mesh, "third killed", 10, urls, kinds, prints);
+        phase(mesh, "without a third", 10, urls, kinds, prints);
+        mesh.printRuns(prints);
+    }
+
+    private static void sleep(long millis) {
+        try {
+            Thread.sleep(millis);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private static void cold(BenchMesh mesh) throws Exception {
+        Behaviour warm = Behaviour.good(SLOTS, SERVICE_MILLIS);
+        for (String dataCentre : DATA_CENTRES) {
+            mesh.addNode(dataCentre + "-registry", dataCentre, "registry", warm.cold(10_000, 4));
+            mesh.addNode(dataCentre + "-press", dataCentre, "press", warm);
+        }
+        mesh.start(NOTE, List.of());
+        List<CallKind> kinds = mondayLoad(0.5);
+        List<CallCounts> prints = new ArrayList<>();
+        List<String> urls = callerUrls(mesh);
+        phase(mesh, "warm-up", WARM_UP_SECONDS, urls, kinds, prints);
+        phase(mesh, "before", 10, urls, kinds, prints);
+        NodeProcess turning = mesh.nodes().get(0);
+        mesh.client().POST(turning.backendUrl() + "/control/restart").send();
+        phase(mesh, "one of four turns cold", 10, urls, kinds, prints);
+        phase(mesh, "after", 10, urls, kinds, prints);
+        mesh.printRuns(prints);
+    }
+
+    private static void drain(BenchMesh mesh) throws Exception {
+        addBadgeWorks(mesh);
+        mesh.start(NOTE, List.of());
+        List<CallKind> kinds = mondayLoad(0.5);
+        List<CallCounts> prints = new ArrayList<>();
+        List<String> urls =
+                mesh.nodes().stream()
+                        .filter(node -> !node.dataCentre().equals("agege"))
+                        .map(NodeProcess::callerUrl)
+                        .toList();
+        phase(mesh, "warm-up", WARM_UP_SECONDS, urls, kinds, prints);
+        phase(mesh, "before", 10, urls, kinds, prints);
+        Thread stopper =
+                new Thread(
+                        () -> {
+                            sleep(2000);
+                            mesh.process("agege-press").destroy();
+                            sleep(2000);
+                            mesh.process("agege-registry").destroy();
+                        });
+        stopper.start();
+        phase(mesh, "two nodes end", 10, urls, kinds, prints);
+        mesh.printRuns(prints);
+    }
+}
--- a/oriolewind-cli/src/main/java/org/oriolewind/cli/Oriolewind.java
+++ b/oriolewind-cli/src/main/java/org/oriolewind/cli/Oriolewind.java
@@ -28,7 +28,8 @@
                     new NodesCommand(),
                     new DataCentreCommand(),
                     new DrainCommand(),
-                    new TimelineCommand());
+                    new TimelineCommand(),
+                    new ReplayCommand());
 
     private Oriolewind() {}
 
--- /dev/null
+++ b/oriolewind-cli/src/main/java/org/oriolewind/cli/ReplayCommand.java
@@ -0,0 +1,51 @@
+package org.oriolewind.cli;
+
+import java.util.List;
+import org.apache.commons.cli.CommandLine;
+import org.oriolewind.cli.replay.Promise;
+import org.oriolewind.cli.replay.Trace;
+import org.oriolewind.cli.replay.Violation;
+import org.oriolewind.cli.timeline.TimelineEvent;
+
+/** Checks a recorded trace against what must always hold. Stateless. */
+final class ReplayCommand implements CliCommand {
+    private static final int MAX_LINES_PER_PROMISE = 10;
+
+    @Override
+    public String name() {
+        return "replay";
+    }
+
+    @Override
+    public String usage() {
+        return "replay FILE...";
+    }
+
+    @Override
+    public String summary() {
+        return "check recorded events against what must always hold; exit status 1 if broken";
+    }
+
+    @Override
+    public ExitStatus run(CliContext context, CommandLine line) throws CliException {
+        List<String> files = CliContext.arguments(line, 1, Integer.MAX_VALUE, usage());
+        List<TimelineEvent> events = TimelineCommand.read(files);
+        if (events.isEmpty()) {
+            throw new CliException(
+                    ExitStatus.BAD_INPUT, "read events", "the files hold no events", null);
+        }
+        Trace trace = new Trace(events);
+        boolean broken = false;
+        for (Promise promise : Promise.values()) {
+            List<Violation> violations = promise.check(trace);
+            broken |= !violations.isEmpty();
+            context.out()
+                    .printf("%-6s %s%n", violations.isEmpty() ? "held" : "BROKEN", promise.title());
+            violations.stream()
+                    .limit(MAX_LINES_PER_PROMISE)
+                    .forEach(v -> context.out().println("       " + v));
+        }
+        context.out().printf("%d events checked%n", events.size());
+        return broken ? ExitStatus.FAILED : ExitStatus.OK;
+    }
+}
--- a/oriolewind-core/src/main/java/org/oriolewind/config/MeshConfig.java
+++ b/oriolewind-core/src/main/java/org/oriolewind/config/MeshConfig.java
@@ -104,6 +104,22 @@
         return Optional.empty();
     }
 
+    /**
+     * Counts the routes whose service is absent. The count is taken anew from what is in force, not
+     * from the check that was made when the version was compiled.
+     *
+     * @return the number, 0 unless the invariant of this class is broken
+     */
+    public int unresolvedRoutes() {
+        int unresolved = 0;
+        for (RouteConfig route : mRoutesByLength) {
+            if (service(route.service()).isEmpty()) {
+                unresolved++;
+            }
+        }
+        return unresolved;
+    }
+
     /**
      * Finds a service.
      *
--- a/oriolewind-core/src/main/java/org/oriolewind/control/ConfigSpread.java
+++ b/oriolewind-core/src/main/java/org/oriolewind/control/ConfigSpread.java
@@ -21,6 +21,9 @@
     /** Time after which an unanswered pull is repeated. */
     private static final long PULL_RETRY_MILLIS = 1000;
 
+    /** Digits of the digest in events. */
+    private static final int DIGEST_CHARS = 12;
+
     private final ControlContext mContext;
     private final Runnable mOnInstalled;
     private long mPullUntilMillis = Long.MIN_VALUE;
@@ -76,11 +79,21 @@
     private void installed(String source) {
         mPullUntilMillis = Long.MIN_VALUE;
         long version = mContext.mConfig.current().version();
-        mContext.record(EventKind.CONFIG_APPLIED, source, version, null);
+        mContext.record(EventKind.CONFIG_APPLIED, source, version, describe());
         mContext.mLinks.all().forEach(this::pushIfBehind);
         mOnInstalled.run();
     }
 
+    /** Describes the version in force so that a trace can be checked against it. */
+    private String describe() {
+        MeshConfig config = mContext.mConfig.current();
+        return String.format(
+                "digest=%s unresolved=%d out=%s",
+                config.snapshot().digest().substring(0, DIGEST_CHARS),
+                config.unresolvedRoutes(),
+                String.join(",", config.dataCentresOut()));
+    }
+
     /** Learns the peer's version from a frame, and asks for it if it is newer. */
     void onVersionHeard(ControlLink link, long version) {
         link.mPeerVersion = Math.max(link.mPeerVersion, version);
--- a/oriolewind-core/src/main/java/org/oriolewind/request/DispatchedCall.java
+++ b/oriolewind-core/src/main/java/org/oriolewind/request/DispatchedCall.java
@@ -55,7 +55,11 @@
         mCall = call;
         mDone = done;
         mStartNanos = dispatcher.services().clock().monotonicNanos();
-        event(EventKind.CALL_BEGUN, null, mConfig.version(), null);
+        event(
+                EventKind.CALL_BEGUN,
+                null,
+                mConfig.version(),
+                mRoute.idempotent() ? "idempotent" : "once");
     }
 
     private long timeLeftMillis() {
--- a/oriolewind-standins/src/main/java/org/oriolewind/standins/backend/BackendHandler.java
+++ b/oriolewind-standins/src/main/java/org/oriolewind/standins/backend/BackendHandler.java
@@ -22,8 +22,8 @@
 /**
  * One backend server: slots, a queue, cold start, drain, shedding, deadlines, and faults to order.
  * It counts honestly how often each request id ran. Control paths: {@code GET /control/counts},
- * {@code POST /control/behaviour}, {@code POST /control/drain}, {@code POST /control/restart}. Safe
- * for use by several threads.
+ * {@code GET /control/total}, {@code POST /control/behaviour}, {@code POST /control/drain}, {@code
+ * POST /control/restart}. Safe for use by several threads.
  */
 public final class BackendHandler extends Handler.Abstract {
     /** Header that names a request; each id is counted when it runs. */
@@ -33,6 +33,7 @@
 
     private final ScheduledExecutorService mTimer;
     private final Map<String, AtomicInteger> mRuns = new ConcurrentHashMap<>();
+    private final AtomicLong mTotalRuns = new AtomicLong();
     private final AtomicLong mShed = new AtomicLong();
     private final AtomicLong mFailed = new AtomicLong();
     private final ArrayDeque<Work> mQueue = new ArrayDeque<>();
@@ -104,6 +105,7 @@
     }
 
     private void run(Work work) {
+        mTotalRuns.incrementAndGet();
         String id = work.request().getHeaders().get(REQUEST_ID);
         if (id != null) {
             mRuns.computeIfAbsent(id, k -> new AtomicInteger()).incrementAndGet();
@@ -183,6 +185,11 @@
                 mDraining = false;
                 mStartedNanos = System.nanoTime();
             }
+            case "/control/total" -> {
+                ObjectNode total = JsonFormat.mapper().createObjectNode();
+                HttpReplies.json(response, callback, total.put("runs", mTotalRuns.get()));
+                return;
+            }
             default -> {
                 HttpReplies.json(response, callback, counts());
                 return;
--- a/oriolewind-standins/src/main/java/org/oriolewind/standins/quickstart/MeshQueries.java
+++ b/oriolewind-standins/src/main/java/org/oriolewind/standins/quickstart/MeshQueries.java
@@ -18,13 +18,20 @@
 import org.oriolewind.standins.quickstart.MeshProcesses.NodeProcess;
 
 /** Asks the processes of a small mesh how they are. Stateless. */
-final class MeshQueries {
+public final class MeshQueries {
     private static final HttpClient CLIENT =
             HttpClient.newBuilder().connectTimeout(Duration.ofSeconds(1)).build();
 
     private MeshQueries() {}
 
-    static JsonNode getJson(String url) throws IOException {
+    /**
+     * Gets JSON.
+     *
+     * @param url the address
+     * @return the answer
+     * @throws IOException if there is none
+     */
+    public static JsonNode getJson(String url) throws IOException {
         try {
             HttpRequest request =
                     HttpRequest.newBuilder(URI.create(url)).timeout(Duration.ofSeconds(5)).build();
@@ -37,8 +44,14 @@
         }
     }
 
-    /** Waits until every node is up, runs a configuration and knows all others. */
-    static void awaitReady(List<NodeProcess> nodes, long timeoutMillis) throws IOException {
+    /**
+     * Waits until every node is up, runs a configuration and knows all others.
+     *
+     * @param nodes the nodes
+     * @param timeoutMillis the longest wait
+     * @throws IOException if the wait was too long
+     */
+    public static void awaitReady(List<NodeProcess> nodes, long timeoutMillis) throws IOException {
         long endMillis = System.currentTimeMillis() + timeoutMillis;
         while (!nodes.stream().allMatch(node -> isReady(node, nodes.size()))) {
             if (System.currentTimeMillis() > endMillis) {
@@ -59,8 +72,14 @@
         }
     }
 
-    /** Sums how often each request id ran over all backend servers. */
-    static Map<String, Integer> runs(List<NodeProcess> nodes) throws IOException {
+    /**
+     * Sums how often each request id ran over all backend servers.
+     *
+     * @param nodes the nodes
+     * @return runs by request id
+     * @throws IOException if a backend server can't be asked
+     */
+    public static Map<String, Integer> runs(List<NodeProcess> nodes) throws IOException {
         Map<String, Integer> runs = new HashMap<>();
         for (NodeProcess node : nodes) {
             JsonNode counts = getJson(node.backendUrl() + "/control/counts");
@@ -71,8 +90,16 @@
         return runs;
     }
 
-    /** Returns the time from publication until the last node ran a version, in milliseconds. */
-    static long convergenceMillis(List<Path> eventFiles, long version, Instant publishedAt)
+    /**
+     * Returns the time from publication until the last node ran a version.
+     *
+     * @param eventFiles the events of all nodes
+     * @param version the version
+     * @param publishedAt when it was published
+     * @return milliseconds
+     * @throws IOException if a file can't be read
+     */
+    public static long convergenceMillis(List<Path> eventFiles, long version, Instant publishedAt)
             throws IOException {
         long latestMillis = 0;
         for (TimelineEvent event : Timeline.read(eventFiles)) {
--- a/oriolewind-standins/src/main/java/org/oriolewind/standins/quickstart/Quickstart.java
+++ b/oriolewind-standins/src/main/java/org/oriolewind/standins/quickstart/Quickstart.java
@@ -89,12 +89,15 @@
         if (keep) {
             waitForUser();
         }
+        mMesh.close();
+        boolean held = replay();
         System.out.printf(
-                "good version %s; bad version %s; calls %s%n",
+                "good version %s; bad version %s; calls %s; promises %s%n",
                 moved ? "took over" : "DID NOT TAKE OVER",
                 takenBack ? "was taken back" : "WAS NOT TAKEN BACK",
-                clean ? "are clean" : "ARE NOT CLEAN");
-        return moved && takenBack && clean;
+                clean ? "are clean" : "ARE NOT CLEAN",
+                held ? "held" : "BROKEN");
+        return moved && takenBack && clean && held;
     }
 
     private void addNodes() throws IOException {
@@ -175,6 +178,13 @@
         return status == expected;
     }
 
+    /** Checks the events of all nodes against what must always hold. */
+    private boolean replay() {
+        List<String> arguments = new ArrayList<>(List.of("replay"));
+        mMesh.eventFiles().forEach(file -> arguments.add(file.toString()));
+        return cli(arguments.toArray(new String[0])) == ExitStatus.OK;
+    }
+
     /** Returns the version of the latest note, read back from the platform. */
     private long latestVersion() throws IOException {
         return MeshQueries.getJson(mMesh.platformUrl() + "/objects/mesh/config")
