Decide moves on pooled evidence, watch versions after their end

What the old version did is kept in the move. A done version is watched for ten minutes and taken back if it turns bad. A local stop falls back on the shares before the move.

A slow version keeps its small share longer; that is the price of letting good ones get warm.

--- /dev/null
+++ b/oriolewind-bench/src/main/java/org/oriolewind/bench/RolloutBench.java
@@ -0,0 +1,79 @@
+package org.oriolewind.bench;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Locale;
+import org.oriolewind.rollout.ProportionRule;
+
+/**
+ * The rollout experiment: the real decision classes with a simulated clock and modelled calls, each
+ * kind of new version many times, with each decision rule. {@code RolloutBench [RUNS
+ * [CALLS-PER-SECOND ...]]}.
+ */
+public final class RolloutBench {
+    private static final int DEFAULT_RUNS = 200;
+    private static final double[] DEFAULT_RATES = {300, 60, 10};
+    private static final long SEED = 20261204;
+
+    private RolloutBench() {}
+
+    /**
+     * Runs the experiment and prints a line a rule, rate and kind.
+     *
+     * @param args the number of runs and the rates of the service's calls
+     * @throws Exception never
+     */
+    public static void main(String[] args) throws Exception {
+        int runs = args.length > 0 ? Integer.parseInt(args[0]) : DEFAULT_RUNS;
+        double[] rates =
+                args.length > 1
+                        ? Arrays.stream(args).skip(1).mapToDouble(Double::parseDouble).toArray()
+                        : DEFAULT_RATES;
+        System.out.printf(
+                "%-17s %5s %-20s %9s %9s %9s %12s %12s %12s%n",
+                "rule",
+                "rate",
+                "kind",
+                "in time",
+                "late",
+                "back",
+                "median s",
+                "bad share",
+                "bad calls");
+        for (double rate : rates) {
+            for (ProportionRule rule : ProportionRule.values()) {
+                for (FaultKind kind : FaultKind.values()) {
+                    measure(rule, rate, kind, runs);
+                }
+            }
+        }
+    }
+
+    private static void measure(ProportionRule rule, double rate, FaultKind kind, int runs)
+            throws Exception {
+        List<SimulatedMove.Outcome> outcomes = new ArrayList<>();
+        for (int run = 0; run < runs; run++) {
+            outcomes.add(new SimulatedMove(rule, rate, kind, SEED + run).run());
+        }
+        long inTime = outcomes.stream().filter(SimulatedMove.Outcome::doneInTime).count();
+        long back = outcomes.stream().filter(SimulatedMove.Outcome::takenBack).count();
+        System.out.printf(
+                Locale.ROOT,
+                "%-17s %5.0f %-20s %8.1f%% %8.1f%% %8.1f%% %12.1f %11.2f%% %12.0f%n",
+                rule.name().toLowerCase(Locale.ROOT),
+                rate,
+                kind.name().toLowerCase(Locale.ROOT),
+                100.0 * inTime / runs,
+                100.0 * outcomes.stream().filter(SimulatedMove.Outcome::late).count() / runs,
+                100.0 * back / runs,
+                median(outcomes.stream().mapToDouble(SimulatedMove.Outcome::seconds)),
+                100 * median(outcomes.stream().mapToDouble(SimulatedMove.Outcome::badShare)),
+                median(outcomes.stream().mapToDouble(SimulatedMove.Outcome::badCalls)));
+    }
+
+    private static double median(java.util.stream.DoubleStream values) {
+        double[] sorted = values.sorted().toArray();
+        return sorted[sorted.length / 2];
+    }
+}
--- /dev/null
+++ b/oriolewind-bench/src/main/java/org/oriolewind/bench/SimulatedMove.java
@@ -0,0 +1,239 @@
+package org.oriolewind.bench;
+
+import java.math.BigDecimal;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayDeque;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import org.oriolewind.config.ConfigEntries;
+import org.oriolewind.config.MeshConfig;
+import org.oriolewind.config.Move;
+import org.oriolewind.config.MovePhase;
+import org.oriolewind.config.NoteEdit;
+import org.oriolewind.config.NoteReader;
+import org.oriolewind.config.ShareAmount;
+import org.oriolewind.rollout.EvidenceCollector;
+import org.oriolewind.rollout.EvidenceKey;
+import org.oriolewind.rollout.EvidenceLedger;
+import org.oriolewind.rollout.MoveDecision;
+import org.oriolewind.rollout.MoveEdit;
+import org.oriolewind.rollout.ProportionRule;
+import org.oriolewind.rollout.RolloutPolicy;
+import org.oriolewind.rollout.VersionJudge;
+import org.oriolewind.wire.EvidenceCount;
+
+/** One move with modelled calls. Evidence arrives late, as it does over the tree. */
+final class SimulatedMove {
+    private static final int STEP_MILLIS = 100;
+    private static final int REPORT_STEPS = 5;
+    private static final int EVIDENCE_DELAY_STEPS = 5;
+    private static final int DECIDE_STEPS = 2;
+    private static final double OLD_FAILURES = 0.005;
+    private static final double[] ROUTE_SHARES = {0.88, 0.10, 0.02};
+    private static final double SERVICE_MILLIS = 20;
+    private static final double LATENCY_SIGMA = 0.35;
+    private static final int CALLS_FOR_DEADLINE = 18_000;
+    private static final int MIN_DEADLINE_SECONDS = 120;
+    private static final int WATCH_SECONDS = 300;
+
+    private final RolloutPolicy mPolicy;
+    private final double mPerSecond;
+    private final FaultKind mKind;
+    private final Random mRandom;
+    private final EvidenceCollector mCollector = new EvidenceCollector();
+    private final EvidenceLedger mLedger = new EvidenceLedger();
+    private final ArrayDeque<List<EvidenceCount>> mOnTheWay = new ArrayDeque<>();
+    private final Instant mStart = Instant.parse("2026-01-01T00:00:00Z");
+    private final int mDeadlineSeconds;
+    private MeshConfig mConfig = MeshConfig.EMPTY;
+    private Instant mNow = mStart;
+    private double mFirstCallSecond = -1;
+    private double mFaultSecond = -1;
+    private long mBadCalls;
+    private long mAllCalls;
+
+    SimulatedMove(ProportionRule rule, double perSecond, FaultKind kind, long seed) {
+        mPolicy = new RolloutPolicy(new VersionJudge(rule));
+        mPerSecond = perSecond;
+        mKind = kind;
+        mRandom = new Random(seed);
+        mDeadlineSeconds = Math.max(MIN_DEADLINE_SECONDS, (int) (CALLS_FOR_DEADLINE / perSecond));
+    }
+
+    /** How a move ended; bad calls are those that ran at the new version once its fault showed. */
+    record Outcome(
+            boolean doneInTime,
+            boolean late,
+            boolean takenBack,
+            double seconds,
+            double badShare,
+            long badCalls) {}
+
+    Outcome run() throws Exception {
+        publish();
+        int step = 0;
+        boolean late = false;
+        Optional<Double> doneSecond = Optional.empty();
+        double limit = mDeadlineSeconds * 3.0 + WATCH_SECONDS;
+        while (second() < limit) {
+            mNow = mNow.plusMillis(STEP_MILLIS);
+            step++;
+            calls(move());
+            relay(step);
+            if (step % DECIDE_STEPS == 0) {
+                decide();
+            }
+            late |= move().lateReason().isPresent();
+            if (move().phase() == MovePhase.TAKEN_BACK) {
+                if (!mKind.isBad() && Boolean.getBoolean("explain")) {
+                    System.out.println(second() + " " + move());
+                }
+                return outcome(doneSecond, late, true);
+            }
+            if (move().phase() == MovePhase.DONE && doneSecond.isEmpty()) {
+                doneSecond = Optional.of(second());
+            }
+            if (doneSecond.isPresent() && second() > doneSecond.get() + WATCH_SECONDS) {
+                break;
+            }
+        }
+        return outcome(doneSecond, late, false);
+    }
+
+    private Outcome outcome(Optional<Double> doneSecond, boolean late, boolean takenBack) {
+        double seconds =
+                takenBack
+                        ? second() - Math.max(0, mFaultSecond)
+                        : doneSecond.orElse(Double.POSITIVE_INFINITY);
+        boolean inTime = !takenBack && doneSecond.filter(s -> s <= mDeadlineSeconds).isPresent();
+        double badShare = mAllCalls == 0 ? 0 : (double) mBadCalls / mAllCalls;
+        return new Outcome(inTime, late, takenBack, seconds, badShare, mBadCalls);
+    }
+
+    private double second() {
+        return Duration.between(mStart, mNow).toMillis() / 1000.0;
+    }
+
+    private Move move() {
+        return mConfig.moves().get("m#0");
+    }
+
+    private void publish() throws Exception {
+        apply(
+                """
+                {"id": "base", "services": {"added": [
+                  {"name": "s", "shares": {"v1": 100, "v2": 0}}]}}
+                """);
+        apply(
+                String.format(
+                        "{\"id\": \"m\", \"moves\": [{\"service\": \"s\", \"from\": \"v1\","
+                                + " \"to\": \"v2\", \"share\": %s, \"by\": \"%s\"}]}",
+                        BigDecimal.valueOf(100), mStart.plusSeconds(mDeadlineSeconds)));
+    }
+
+    private void apply(String note) throws Exception {
+        ConfigEntries draft = mConfig.edit();
+        new NoteEdit(NoteReader.read(note.getBytes(StandardCharsets.UTF_8)))
+                .apply(mConfig, draft, mNow);
+        mConfig = draft.build(mConfig.version() + 1);
+    }
+
+    private void decide() throws Exception {
+        Move move = move();
+        boolean watched = move.phase().isActive() || move.isGuarded(mNow);
+        if (!watched) {
+            return;
+        }
+        MoveDecision decision =
+                mPolicy.decide(
+                        move, mLedger.pairs("s", "v1", "v2"), mLedger.windowStart("s"), mNow);
+        if (decision.action() == MoveDecision.Action.RESTART_WINDOW) {
+            mLedger.restart("s", decision, mNow);
+        } else if (decision.isWritten()) {
+            ConfigEntries draft = mConfig.edit();
+            if (new MoveEdit(move.id(), move.stage(), 1, decision).apply(mConfig, draft, mNow)) {
+                mConfig = draft.build(mConfig.version() + 1);
+                mLedger.reset("s", mNow);
+            }
+        }
+    }
+
+    private void relay(int step) {
+        if (step % REPORT_STEPS == 0) {
+            mOnTheWay.add(mCollector.drain());
+        }
+        if (mOnTheWay.size() > EVIDENCE_DELAY_STEPS / REPORT_STEPS) {
+            mLedger.add(mOnTheWay.poll());
+        }
+    }
+
+    private void calls(Move move) {
+        double mean = mPerSecond * STEP_MILLIS / 1000.0;
+        int calls = poisson(mean);
+        double share =
+                mConfig.sharesAt(mConfig.service("s").orElseThrow(), mNow).get("v2")
+                        / (double) ShareAmount.WHOLE_BPS;
+        double sinceDone =
+                move.phase() == MovePhase.DONE
+                        ? Duration.between(move.endedAt().orElseThrow(), mNow).toMillis() / 1000.0
+                        : -1;
+        for (int i = 0; i < calls; i++) {
+            call(share, sinceDone);
+        }
+    }
+
+    private void call(double share, double sinceDone) {
+        boolean toNew = mRandom.nextDouble() < share;
+        int route = route(mRandom.nextDouble());
+        if (toNew && mFirstCallSecond < 0) {
+            mFirstCallSecond = second();
+        }
+        double sinceStart = mFirstCallSecond < 0 ? 0 : second() - mFirstCallSecond;
+        FaultKind.Moment moment = new FaultKind.Moment(sinceStart, sinceDone, share, route);
+        double failures = OLD_FAILURES + mKind.sharedFailures(moment);
+        double millis = SERVICE_MILLIS * Math.exp(LATENCY_SIGMA * mRandom.nextGaussian());
+        boolean cold = false;
+        if (toNew) {
+            double extra = mKind.failures(moment);
+            double factor = mKind.slowFactor(moment);
+            boolean faulty = mKind.isBad() && (extra > 0 || factor > 1);
+            failures += extra;
+            millis *= factor;
+            // The gate says so for a while: here two thirds of the time for which it is true.
+            cold = !mKind.isBad() && factor > 1 && sinceStart < 7;
+            if (faulty) {
+                mBadCalls++;
+                mFaultSecond = mFaultSecond < 0 ? second() : mFaultSecond;
+            }
+        }
+        mAllCalls += mFaultSecond >= 0 ? 1 : 0;
+        boolean failed = mRandom.nextDouble() < failures;
+        EvidenceKey key = new EvidenceKey("s", toNew ? "v2" : "v1", "r" + route);
+        mCollector.addCall(key, failed, cold, (long) (millis * 1000));
+    }
+
+    private static int route(double point) {
+        double sum = 0;
+        for (int i = 0; i < ROUTE_SHARES.length; i++) {
+            sum += ROUTE_SHARES[i];
+            if (point < sum) {
+                return i;
+            }
+        }
+        return ROUTE_SHARES.length - 1;
+    }
+
+    private int poisson(double mean) {
+        double limit = Math.exp(-mean);
+        double product = mRandom.nextDouble();
+        int count = 0;
+        while (product > limit) {
+            product *= mRandom.nextDouble();
+            count++;
+        }
+        return count;
+    }
+}
--- a/oriolewind-core/src/main/java/org/oriolewind/config/MeshConfig.java
+++ b/oriolewind-core/src/main/java/org/oriolewind/config/MeshConfig.java
@@ -25,6 +25,7 @@
     private final ConfigEntries mEntries;
     private final List<RouteConfig> mRoutesByLength;
     private final Map<String, Move> mActiveMoves = new TreeMap<>();
+    private final Map<String, Move> mLatestDone = new TreeMap<>();
 
     private MeshConfig(ConfigSnapshot snapshot, ConfigEntries entries) {
         mSnapshot = snapshot;
@@ -34,10 +35,25 @@
         for (Move move : entries.moves().values()) {
             if (move.phase().isActive()) {
                 mActiveMoves.put(move.service(), move);
+            } else if (move.phase() == MovePhase.DONE && canBeReverted(move)) {
+                mLatestDone.merge(move.service(), move, MeshConfig::later);
             }
         }
     }
 
+    /** A move can be reverted while the shares are still as it left them. */
+    private boolean canBeReverted(Move move) {
+        ServiceConfig service = mEntries.services().get(move.service());
+        return service != null
+                && service.sharesBps().containsKey(move.from())
+                && Integer.valueOf(move.targetBps()).equals(service.sharesBps().get(move.to()));
+    }
+
+    private static Move later(Move one, Move other) {
+        Instant oneEnd = one.endedAt().orElse(Instant.MIN);
+        return other.endedAt().orElse(Instant.MIN).isAfter(oneEnd) ? other : one;
+    }
+
     private static MeshConfig emptyConfig() {
         ConfigSnapshot snapshot = ConfigSnapshot.of(0, new TreeMap<>());
         return new MeshConfig(snapshot, new ConfigEntries());
@@ -155,6 +171,22 @@
         return Optional.ofNullable(mActiveMoves.get(service));
     }
 
+    /**
+     * Returns the move of a service whose new version is under watch: the move in progress, or one
+     * that ended well a short while ago.
+     *
+     * @param service the service's name
+     * @param now the present
+     * @return the move, or empty if no version is under watch
+     */
+    public Optional<Move> watchedMove(String service, Instant now) {
+        Move active = mActiveMoves.get(service);
+        if (active != null) {
+            return Optional.of(active);
+        }
+        return Optional.ofNullable(mLatestDone.get(service)).filter(m -> m.isGuarded(now));
+    }
+
     /**
      * Returns all moves in progress.
      *
@@ -164,6 +196,20 @@
         return mActiveMoves.values();
     }
 
+    /**
+     * Returns all moves whose new versions are under watch, those in progress included.
+     *
+     * @param now the present
+     * @return the moves, one a service at most
+     */
+    public List<Move> watchedMoves(Instant now) {
+        List<Move> moves = new ArrayList<>(mActiveMoves.values());
+        mLatestDone.values().stream()
+                .filter(m -> m.isGuarded(now) && !mActiveMoves.containsKey(m.service()))
+                .forEach(moves::add);
+        return moves;
+    }
+
     /**
      * Returns all moves of the notes kept, ended ones included.
      *
--- a/oriolewind-core/src/main/java/org/oriolewind/config/Move.java
+++ b/oriolewind-core/src/main/java/org/oriolewind/config/Move.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.List;
 import java.util.Optional;
 
 /**
@@ -27,6 +28,7 @@
  * @param evidence the counts behind the latest decision
  * @param lateReason why the move missed its deadline
  * @param endedAt when the move was done, taken back or superseded
+ * @param baselines what the old version did before the latest permit, by route
  */
 public record Move(
         String id,
@@ -45,10 +47,19 @@
         Instant grantedAt,
         Optional<MoveEvidence> evidence,
         Optional<String> lateReason,
-        Optional<Instant> endedAt) {
+        Optional<Instant> endedAt,
+        List<RouteBaseline> baselines) {
     /** Time over which a permitted step takes effect, so that cold gates can open. */
     public static final Duration RAMP = Duration.ofMillis(1500);
 
+    /** Time after the end for which a new version is still watched and may be taken back. */
+    public static final Duration GUARD = Duration.ofMinutes(10);
+
+    /** Copies the list. */
+    public Move {
+        baselines = List.copyOf(baselines);
+    }
+
     /**
      * Creates a move that has no permit yet.
      *
@@ -78,7 +89,8 @@
                 now,
                 Optional.empty(),
                 Optional.empty(),
-                Optional.empty());
+                Optional.empty(),
+                List.of());
     }
 
     /**
@@ -102,25 +114,32 @@
         return (int) (previousBps + step * passedMillis / RAMP.toMillis());
     }
 
+    /**
+     * Returns whether the move has ended well, but so lately that the new version is still watched.
+     *
+     * @param now the present
+     * @return true if a fault still takes the version back
+     */
+    public boolean isGuarded(Instant now) {
+        return phase == MovePhase.DONE
+                && endedAt.filter(end -> now.isBefore(end.plus(GUARD))).isPresent();
+    }
+
     /**
      * Returns a copy with a larger share permitted.
      *
      * @param shareBps the share, in basis points
      * @param reason the counts behind it, empty for the first step
+     * @param oldCounts what the old version did until now, by route
      * @param now the present
      * @return the copy
      */
-    public Move permit(int shareBps, Optional<MoveEvidence> reason, Instant now) {
-        return new Move(
-                id,
-                note,
-                service,
-                from,
-                to,
-                baseBps,
-                targetBps,
-                createdAt,
-                by,
+    public Move permit(
+            int shareBps,
+            Optional<MoveEvidence> reason,
+            List<RouteBaseline> oldCounts,
+            Instant now) {
+        return copy(
                 MovePhase.MOVING,
                 stage + 1,
                 permittedBps,
@@ -128,7 +147,8 @@
                 now,
                 reason,
                 lateReason,
-                endedAt);
+                endedAt,
+                oldCounts);
     }
 
     /**
@@ -140,16 +160,7 @@
      * @return the copy
      */
     public Move end(MovePhase end, Optional<MoveEvidence> reason, Instant now) {
-        return new Move(
-                id,
-                note,
-                service,
-                from,
-                to,
-                baseBps,
-                targetBps,
-                createdAt,
-                by,
+        return copy(
                 end,
                 stage,
                 previousBps,
@@ -157,7 +168,8 @@
                 grantedAt,
                 reason,
                 lateReason,
-                Optional.of(now));
+                Optional.of(now),
+                baselines);
     }
 
     /**
@@ -167,6 +179,28 @@
      * @return the copy
      */
     public Move late(String reason) {
+        return copy(
+                phase,
+                stage,
+                previousBps,
+                permittedBps,
+                grantedAt,
+                evidence,
+                Optional.of(reason),
+                endedAt,
+                baselines);
+    }
+
+    private Move copy(
+            MovePhase newPhase,
+            int newStage,
+            int newPreviousBps,
+            int newPermittedBps,
+            Instant newGrantedAt,
+            Optional<MoveEvidence> newEvidence,
+            Optional<String> newLateReason,
+            Optional<Instant> newEndedAt,
+            List<RouteBaseline> newBaselines) {
         return new Move(
                 id,
                 note,
@@ -177,13 +211,14 @@
                 targetBps,
                 createdAt,
                 by,
-                phase,
-                stage,
-                previousBps,
-                permittedBps,
-                grantedAt,
-                evidence,
-                Optional.of(reason),
-                endedAt);
+                newPhase,
+                newStage,
+                newPreviousBps,
+                newPermittedBps,
+                newGrantedAt,
+                newEvidence,
+                newLateReason,
+                newEndedAt,
+                newBaselines);
     }
 }
--- a/oriolewind-core/src/main/java/org/oriolewind/control/EvidenceRelay.java
+++ b/oriolewind-core/src/main/java/org/oriolewind/control/EvidenceRelay.java
@@ -45,7 +45,7 @@
         for (Move move : config.moves().values()) {
             String stage = move.id() + "/" + move.stage() + "/" + move.phase();
             if (!stage.equals(mStages.put(move.id(), stage))) {
-                mLedger.reset(move.service());
+                mLedger.reset(move.service(), mContext.mClock.instant());
             }
         }
         mStages.keySet().retainAll(config.moves().keySet());
--- a/oriolewind-core/src/main/java/org/oriolewind/control/RolloutDuty.java
+++ b/oriolewind-core/src/main/java/org/oriolewind/control/RolloutDuty.java
@@ -48,13 +48,16 @@
             return;
         }
         MeshConfig config = mContext.mConfig.current();
-        for (Move move : config.activeMoves()) {
+        for (Move move : config.watchedMoves(mContext.mClock.instant())) {
             MoveDecision decision =
                     mPolicy.decide(
                             move,
                             mLedger.pairs(move.service(), move.from(), move.to()),
+                            mLedger.windowStart(move.service()),
                             mContext.mClock.instant());
-            if (decision.action() != MoveDecision.Action.HOLD) {
+            if (decision.action() == MoveDecision.Action.RESTART_WINDOW) {
+                mLedger.restart(move.service(), decision, mContext.mClock.instant());
+            } else if (decision.isWritten()) {
                 write(move, decision);
                 return;
             }
--- a/oriolewind-core/src/main/java/org/oriolewind/request/DispatchedCall.java
+++ b/oriolewind-core/src/main/java/org/oriolewind/request/DispatchedCall.java
@@ -3,6 +3,7 @@
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
+import java.util.SortedMap;
 import java.util.function.Consumer;
 import org.oriolewind.config.MeshConfig;
 import org.oriolewind.config.Move;
@@ -83,19 +84,21 @@
     private Optional<Member> chooseTarget() {
         mVersion =
                 VersionChooser.choose(
-                        mConfig.sharesAt(mService, mDispatcher.services().clock().instant()),
-                        this::isUsable,
+                        shares(),
+                        version -> endpoint(version).isPresent(),
                         mDispatcher.services().random());
         return mVersion.flatMap(this::endpoint);
     }
 
-    private boolean isUsable(String version) {
+    /** Returns the shares in force, or those before the move if this node stopped it. */
+    private SortedMap<String, Integer> shares() {
         boolean stopped =
                 mConfig.activeMove(mService.name())
-                        .filter(move -> move.to().equals(version))
                         .filter(mDispatcher.stops()::isStopped)
                         .isPresent();
-        return !stopped && endpoint(version).isPresent();
+        return stopped
+                ? mService.sharesBps()
+                : mConfig.sharesAt(mService, mDispatcher.services().clock().instant());
     }
 
     private Optional<Member> endpoint(String version) {
@@ -167,7 +170,8 @@
     }
 
     private void countEvidence(CallAnswer answer) {
-        Optional<Move> move = mConfig.activeMove(mService.name());
+        Optional<Move> move =
+                mConfig.watchedMove(mService.name(), mDispatcher.services().clock().instant());
         if (move.isEmpty()) {
             return;
         }
--- a/oriolewind-core/src/main/java/org/oriolewind/rollout/EvidenceCollector.java
+++ b/oriolewind-core/src/main/java/org/oriolewind/rollout/EvidenceCollector.java
@@ -18,15 +18,11 @@
      *
      * @param key what the call belongs to
      * @param failed whether it failed
-     * @param cold whether the gate was still opening; failures count all the same
+     * @param cold whether the gate was still opening; the latency does not count then
      * @param micros time in the backend server, in microseconds
      */
     public synchronized void addCall(EvidenceKey key, boolean failed, boolean cold, long micros) {
-        if (cold && !failed) {
-            totals(key).addColdCall();
-        } else {
-            totals(key).addCall(failed, micros);
-        }
+        totals(key).addCall(failed, cold, micros);
     }
 
     /**
--- a/oriolewind-core/src/main/java/org/oriolewind/rollout/EvidenceLedger.java
+++ b/oriolewind-core/src/main/java/org/oriolewind/rollout/EvidenceLedger.java
@@ -1,5 +1,6 @@
 package org.oriolewind.rollout;
 
+import java.time.Instant;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.Map;
@@ -11,6 +12,7 @@
     private static final EvidenceTotals NONE = new EvidenceTotals();
 
     private final Map<EvidenceKey, EvidenceTotals> mTotals = new HashMap<>();
+    private final Map<String, Instant> mWindowStarts = new HashMap<>();
 
     /**
      * Adds counts.
@@ -30,11 +32,42 @@
      * Starts a new window for a service.
      *
      * @param service the service's name
+     * @param now the present
      */
-    public void reset(String service) {
+    public void reset(String service, Instant now) {
+        mWindowStarts.put(service, now);
         mTotals.keySet().removeIf(key -> key.service().equals(service));
     }
 
+    /**
+     * Starts a new window as a decision has it.
+     *
+     * @param service the service's name
+     * @param decision a decision to count anew
+     * @param now the present
+     */
+    public void restart(String service, MoveDecision decision, Instant now) {
+        if (decision.restartRoutes().isEmpty()) {
+            reset(service, now);
+            return;
+        }
+        mTotals.keySet()
+                .removeIf(
+                        key ->
+                                key.service().equals(service)
+                                        && decision.restartRoutes().contains(key.route()));
+    }
+
+    /**
+     * Returns when the window of a service began.
+     *
+     * @param service the service's name
+     * @return the time, the epoch if nothing was reset yet
+     */
+    public Instant windowStart(String service) {
+        return mWindowStarts.getOrDefault(service, Instant.EPOCH);
+    }
+
     /**
      * Pairs the counts of two versions, route by route.
      *
--- a/oriolewind-core/src/main/java/org/oriolewind/rollout/EvidenceTotals.java
+++ b/oriolewind-core/src/main/java/org/oriolewind/rollout/EvidenceTotals.java
@@ -14,19 +14,19 @@
      * Adds one call that the backend server ran, or that failed on the way.
      *
      * @param failed whether the call failed
+     * @param cold whether the gate was opening after a cold start; the latency does not count then
      * @param micros time in the backend server, in microseconds
      */
-    public void addCall(boolean failed, long micros) {
+    public void addCall(boolean failed, boolean cold, long micros) {
         mCalls++;
         if (failed) {
             mFailures++;
         }
-        mBuckets[LatencyBuckets.indexOf(micros)]++;
-    }
-
-    /** Adds one call that ran while the gate was opening after a cold start. */
-    public void addColdCall() {
-        mColdCalls++;
+        if (cold) {
+            mColdCalls++;
+        } else {
+            mBuckets[LatencyBuckets.indexOf(micros)]++;
+        }
     }
 
     /** Adds one call that the gate refused as not run. */
@@ -50,6 +50,21 @@
         }
     }
 
+    /**
+     * Adds other sums.
+     *
+     * @param other the sums to add
+     */
+    public void add(EvidenceTotals other) {
+        mCalls += other.mCalls;
+        mFailures += other.mFailures;
+        mColdCalls += other.mColdCalls;
+        mRefusals += other.mRefusals;
+        for (int i = 0; i < LatencyBuckets.COUNT; i++) {
+            mBuckets[i] += other.mBuckets[i];
+        }
+    }
+
     /**
      * Writes the sums for a report.
      *
@@ -83,7 +98,7 @@
      * @return the bucket's index; the last one if there are no calls
      */
     public int quantileBucket(double quantile) {
-        long needed = (long) Math.ceil(mCalls * quantile);
+        long needed = (long) Math.ceil(timedCalls() * quantile);
         long seen = 0;
         for (int i = 0; i < LatencyBuckets.COUNT; i++) {
             seen += mBuckets[i];
@@ -109,7 +124,7 @@
     }
 
     /**
-     * Returns the calls counted, cold ones and refusals not included.
+     * Returns the calls counted, cold ones included and refusals not.
      *
      * @return the number of calls
      */
@@ -117,6 +132,15 @@
         return mCalls;
     }
 
+    /**
+     * Returns the calls whose latency counts.
+     *
+     * @return the number of calls, cold ones not included
+     */
+    public long timedCalls() {
+        return mCalls - mColdCalls;
+    }
+
     /**
      * Returns the failed calls.
      *
@@ -150,6 +174,6 @@
      * @return true if all sums are zero
      */
     public boolean isEmpty() {
-        return mCalls == 0 && mColdCalls == 0 && mRefusals == 0;
+        return mCalls == 0 && mRefusals == 0;
     }
 }
--- a/oriolewind-core/src/main/java/org/oriolewind/rollout/LocalStops.java
+++ b/oriolewind-core/src/main/java/org/oriolewind/rollout/LocalStops.java
@@ -97,7 +97,10 @@
         EvidenceKey old = new EvidenceKey(key.service(), move.from(), key.route());
         Verdict verdict =
                 ProportionRule.SEQUENTIAL_RATIO.judge(
-                        watched.proportion(old), watched.proportion(key), FAILURE_HARM);
+                        watched.proportion(old),
+                        watched.proportion(key),
+                        FAILURE_HARM,
+                        Certainty.NORMAL);
         return verdict == Verdict.BAD;
     }
 }
--- a/oriolewind-core/src/main/java/org/oriolewind/rollout/MoveEdit.java
+++ b/oriolewind-core/src/main/java/org/oriolewind/rollout/MoveEdit.java
@@ -21,7 +21,12 @@
     @Override
     public boolean apply(MeshConfig current, ConfigEntries draft, Instant now) {
         Move move = current.moves().get(moveId);
-        if (move == null || !move.phase().isActive() || move.stage() != stage) {
+        boolean watched =
+                move != null
+                        && current.watchedMove(move.service(), now)
+                                .filter(move::equals)
+                                .isPresent();
+        if (!watched || move.stage() != stage) {
             return false;
         }
         if (current.rolloutTerm() > term) {
@@ -30,7 +35,8 @@
         draft.setRolloutTerm(term);
         Move next = change(move, now);
         draft.moves().put(moveId, next);
-        if (next.phase() == MovePhase.DONE) {
+        if (next.phase() == MovePhase.DONE
+                || next.phase() == MovePhase.TAKEN_BACK && move.phase() == MovePhase.DONE) {
             draft.services()
                     .computeIfPresent(move.service(), (name, service) -> service.with(next, now));
         }
@@ -39,11 +45,13 @@
 
     private Move change(Move move, Instant now) {
         return switch (decision.action()) {
-            case PERMIT -> move.permit(decision.shareBps(), decision.evidence(), now);
+            case PERMIT ->
+                    move.permit(
+                            decision.shareBps(), decision.evidence(), decision.baselines(), now);
             case FINISH -> move.end(MovePhase.DONE, decision.evidence(), now);
             case TAKE_BACK -> move.end(MovePhase.TAKEN_BACK, decision.evidence(), now);
             case MARK_LATE -> move.late(decision.reason());
-            case HOLD -> move;
+            case HOLD, RESTART_WINDOW -> move;
         };
     }
 }
--- a/oriolewind-core/src/test/java/org/oriolewind/config/NoteCompilerTest.java
+++ b/oriolewind-core/src/test/java/org/oriolewind/config/NoteCompilerTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.time.Instant;
+import java.util.List;
 import java.util.Optional;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -89,7 +90,8 @@
                 TestNotes.config(NOW, TestNotes.BASE, TestNotes.move("m1", NOW.plusSeconds(60)));
         ConfigEntries draft = moving.edit();
         Move move = draft.moves().get("m1#0");
-        draft.moves().put("m1#0", move.permit(3000, Optional.empty(), NOW.minusSeconds(10)));
+        draft.moves()
+                .put("m1#0", move.permit(3000, Optional.empty(), List.of(), NOW.minusSeconds(10)));
         MeshConfig half = draft.build(3);
         ConfigEntries next = half.edit();
         new NoteEdit(TestNotes.read(TestNotes.move("m2", NOW.plusSeconds(60))))
