--- /dev/null
+++ b/oriolewind-spec/src/main/java/org/oriolewind/spec/package-info.java
@@ -0,0 +1,2 @@
+/** The specification of the core protocol and its bounded check. */
+package org.oriolewind.spec;
