Test real nodes against bad input, strangers, deadlines and shutdown

Cause: limits towards callers and strangers, and the end of a node under load, had no tests over real sockets.

Change: two or three nodes in the test's process with a platform and backend servers; the growth of a share takes larger steps when the deadline leaves time for few. Counts from before the share stood still no longer decide.

--- a/oriolewind-core/src/main/java/org/oriolewind/rollout/RolloutPolicy.java
+++ b/oriolewind-core/src/main/java/org/oriolewind/rollout/RolloutPolicy.java
@@ -38,6 +38,10 @@
     private static final int STEPS = 5;
 
     private static final int GROWTH_FACTOR = 3;
+    private static final int MAX_GROWTH_FACTOR = 8;
+
+    /** Time that a step takes where traffic is plenty. */
+    private static final Duration STEP_TIME = SETTLE.plusMillis(1500);
 
     /** Share of refused calls over the old version's beyond which the share does not grow. */
     private static final double REFUSAL_HARM = 0.1;
@@ -69,24 +73,23 @@
         }
         Instant steadyAt = move.grantedAt().plus(SETTLE);
         boolean steady = !now.isBefore(steadyAt);
-        Certainty certainty =
-                steady && move.phase() == MovePhase.MOVING ? Certainty.NORMAL : Certainty.HIGH;
+        boolean restarted = !windowStart.isBefore(steadyAt);
+        boolean comparable = steady && restarted && move.phase() == MovePhase.MOVING;
+        Certainty certainty = comparable ? Certainty.NORMAL : Certainty.HIGH;
         Judgement judgement = mJudge.judge(pairs, move.baselines(), certainty);
         if (judgement.verdict() == Verdict.BAD && judgement.slowOnly() && isWarmingUp(move, now)) {
             // Slow because it has just started, perhaps: it keeps its small share and is counted
             // anew.
             return MoveDecision.RESTART_WINDOW;
         }
-        boolean shifting = !steady && move.phase() == MovePhase.MOVING;
-        if (judgement.verdict() == Verdict.BAD && shifting && !isGross(judgement.evidence())) {
-            // The versions' calls are not of the same time yet, and trouble of both may look so.
-            return MoveDecision.HOLD;
-        }
-        if (judgement.verdict() == Verdict.BAD) {
+        boolean shifting = !comparable && move.phase() == MovePhase.MOVING;
+        boolean bad = judgement.verdict() == Verdict.BAD;
+        // While the share shifts, the versions' calls are not of the same time, and trouble of both
+        // may look like a fault of one.
+        if (bad && (!shifting || isGross(judgement.evidence()))) {
             return MoveDecision.end(MoveDecision.Action.TAKE_BACK, judgement.evidence());
         }
-        if (steady && windowStart.isBefore(steadyAt)) {
-            // While the share shifted, the versions' calls were not of the same time.
+        if (steady && !restarted) {
             return MoveDecision.RESTART_WINDOW;
         }
         if (move.phase() == MovePhase.DONE) {
@@ -137,7 +140,7 @@
         }
         if (!last && judgement.pooled() == Verdict.GOOD && !refuses) {
             return MoveDecision.permit(
-                    nextShare(move),
+                    nextShare(move, now),
                     Optional.of(judgement.evidence()),
                     VersionJudge.baselines(pairs, move.baselines()));
         }
@@ -151,10 +154,14 @@
         return MoveDecision.HOLD;
     }
 
-    private static int nextShare(Move move) {
+    /** Grows by the usual factor, or by more if the deadline leaves time for few steps only. */
+    private static int nextShare(Move move, Instant now) {
         int gained = Math.max(MIN_FIRST_STEP_BPS, move.permittedBps() - move.baseBps());
-        int next = move.baseBps() + gained * GROWTH_FACTOR;
-        return Math.min(move.targetBps(), next);
+        long stepsLeft = Duration.between(now, move.by()).dividedBy(STEP_TIME) - 1;
+        double wanted = (double) (move.targetBps() - move.baseBps()) / gained;
+        double factor = Math.pow(wanted, 1.0 / Math.max(1, stepsLeft));
+        double bounded = Math.max(GROWTH_FACTOR, Math.min(MAX_GROWTH_FACTOR, factor));
+        return Math.min(move.targetBps(), move.baseBps() + (int) (gained * bounded));
     }
 
     private static boolean refusesMore(Map<String, EvidencePair> pairs) {
--- /dev/null
+++ b/oriolewind-standins/src/test/java/org/oriolewind/standins/LocalMesh.java
@@ -0,0 +1,168 @@
+package org.oriolewind.standins;
+
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.function.BooleanSupplier;
+import org.apache.commons.cli.DefaultParser;
+import org.apache.commons.cli.Option;
+import org.apache.commons.cli.Options;
+import org.eclipse.jetty.server.Server;
+import org.oriolewind.config.ConfigPublisher;
+import org.oriolewind.config.JsonFormat;
+import org.oriolewind.config.NoteReader;
+import org.oriolewind.node.Node;
+import org.oriolewind.node.NodeSettings;
+import org.oriolewind.node.SettingName;
+import org.oriolewind.node.store.HttpObjectStore;
+import org.oriolewind.standins.backend.BackendHandler;
+import org.oriolewind.standins.backend.BackendStandIn;
+import org.oriolewind.standins.backend.Behaviour;
+import org.oriolewind.standins.platform.PlatformStandIn;
+import org.oriolewind.time.SystemNodeClock;
+
+/** Real nodes in this process, with a platform and backend servers, for tests. */
+final class LocalMesh implements AutoCloseable {
+    static final String NOTE =
+            """
+            {"id": "first",
+             "services": {"added": [{"name": "press", "shares": {"v1": 100}}]},
+             "routes": {"added": [
+               {"name": "print", "path": "/print", "service": "press", "idempotent": false},
+               {"name": "lookup", "path": "/lookup", "service": "press", "idempotent": true}]}}
+            """;
+
+    private static final long READY_MILLIS = 30_000;
+
+    final List<Running> mNodes = new ArrayList<>();
+    final HttpClient mClient = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+    private final int mPlatformPort = freePort();
+    private final Server mPlatform = PlatformStandIn.start(mPlatformPort);
+    private final ScheduledExecutorService mTimer = BackendStandIn.newTimer();
+    private final org.eclipse.jetty.client.HttpClient mStoreClient =
+            new org.eclipse.jetty.client.HttpClient();
+
+    LocalMesh() throws Exception {
+        mStoreClient.start();
+        HttpObjectStore store =
+                new HttpObjectStore(
+                        mStoreClient, "http://127.0.0.1:" + mPlatformPort, Duration.ofSeconds(5));
+        new ConfigPublisher(store, new SystemNodeClock())
+                .publish(NoteReader.read(NOTE.getBytes(StandardCharsets.UTF_8)));
+    }
+
+    /** A node and the backend server beside it. */
+    record Running(
+            Node node, Server backend, BackendHandler handler, int caller, int peer, int admin) {}
+
+    static int freePort() throws Exception {
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return socket.getLocalPort();
+        }
+    }
+
+    Running start(String name, Behaviour behaviour) throws Exception {
+        BackendHandler handler = new BackendHandler(behaviour, mTimer);
+        int backendPort = freePort();
+        Server backend = BackendStandIn.start(backendPort, handler);
+        int caller = freePort();
+        int peer = freePort();
+        int admin = freePort();
+        List<String> flags = new ArrayList<>();
+        add(flags, SettingName.NODE, name);
+        add(flags, SettingName.DATA_CENTRE, "ikeja");
+        add(flags, SettingName.SERVICE, "press");
+        add(flags, SettingName.SERVICE_VERSION, "v1");
+        add(flags, SettingName.BACKEND_ADDRESS, "127.0.0.1:" + backendPort);
+        add(flags, SettingName.CALLER_ADDRESS, "127.0.0.1:" + caller);
+        add(flags, SettingName.PEER_ADDRESS, "127.0.0.1:" + peer);
+        add(flags, SettingName.ADMIN_ADDRESS, "127.0.0.1:" + admin);
+        add(flags, SettingName.PLATFORM_URL, "http://127.0.0.1:" + mPlatformPort);
+        add(flags, SettingName.MAX_BODY_BYTES, "4096");
+        add(flags, SettingName.MAX_HEADER_BYTES, "2048");
+        add(flags, SettingName.EVENT_FILE, "/dev/null");
+        Options options = new Options();
+        for (SettingName setting : SettingName.values()) {
+            options.addOption(Option.builder().longOpt(setting.flag()).hasArg().get());
+        }
+        NodeSettings settings =
+                NodeSettings.read(
+                        new DefaultParser().parse(options, flags.toArray(new String[0])), Map.of());
+        Node node = new Node(settings);
+        node.start();
+        Running running = new Running(node, backend, handler, caller, peer, admin);
+        mNodes.add(running);
+        return running;
+    }
+
+    private static void add(List<String> flags, SettingName name, String value) {
+        flags.add("--" + name.flag());
+        flags.add(value);
+    }
+
+    void awaitReady() throws Exception {
+        await(() -> mNodes.stream().allMatch(n -> status(n, "state", "UP", mNodes.size())));
+    }
+
+    /** Waits for something that has to come; the test fails if it does not. */
+    static void await(BooleanSupplier condition) throws InterruptedException {
+        long end = System.nanoTime() + READY_MILLIS * 1_000_000L;
+        while (!condition.getAsBoolean()) {
+            if (System.nanoTime() > end) {
+                throw new AssertionError("did not come about within " + READY_MILLIS + " ms");
+            }
+            Thread.sleep(20);
+        }
+    }
+
+    private boolean status(Running node, String field, String value, int members) {
+        try {
+            var json = JsonFormat.mapper().readTree(get(node.admin(), "/status").body());
+            return json.path(field).asText().equals(value)
+                    && json.path("members").asInt() == members;
+        } catch (Exception e) {
+            return false;
+        }
+    }
+
+    long metric(Running node, String name) throws Exception {
+        return JsonFormat.mapper()
+                .readTree(get(node.admin(), "/metrics").body())
+                .path(name)
+                .asLong();
+    }
+
+    HttpResponse<String> get(int port, String path) throws Exception {
+        return send(HttpRequest.newBuilder(uri(port, path)));
+    }
+
+    HttpResponse<String> send(HttpRequest.Builder request) throws Exception {
+        return mClient.send(
+                request.timeout(Duration.ofSeconds(20)).build(),
+                HttpResponse.BodyHandlers.ofString());
+    }
+
+    static URI uri(int port, String path) {
+        return URI.create("http://127.0.0.1:" + port + path);
+    }
+
+    @Override
+    public void close() throws Exception {
+        mNodes.parallelStream().forEach(n -> n.node().close());
+        for (Running node : mNodes) {
+            node.backend().stop();
+        }
+        mPlatform.stop();
+        mStoreClient.stop();
+        mTimer.shutdownNow();
+    }
+}
