Weigh concurrent calls of the old version over earlier ones

Change: five to fifty old calls of the present window are joined with at most twenty calls' worth of the time before.

--- a/oriolewind-core/src/main/java/org/oriolewind/rollout/VersionJudge.java
+++ b/oriolewind-core/src/main/java/org/oriolewind/rollout/VersionJudge.java
@@ -29,6 +29,12 @@
     /** Old calls from which the present window alone is the comparison. */
     private static final long ENOUGH_OLD_CALLS = 50;
 
+    /** Old calls from which the present window outweighs what was before. */
+    private static final long FEW_OLD_CALLS = 5;
+
+    /** Calls for which the time before counts beside a window with few old calls. */
+    private static final double PRIOR_CALLS = 20;
+
     /** Old calls needed before latency is compared. */
     private static final long MIN_OLD_CALLS = 20;
 
@@ -123,7 +129,22 @@
                     oldTotals.slowerThan(bucket),
                     bucket);
         }
-        return plus(before.get(), oldTotals);
+        if (oldTotals.calls() < FEW_OLD_CALLS) {
+            return plus(before.get(), oldTotals);
+        }
+        // Calls of the present weigh more: trouble that began just now concerns both versions.
+        return plus(scaled(before.get(), PRIOR_CALLS), oldTotals);
+    }
+
+    private static RouteBaseline scaled(RouteBaseline baseline, double toCalls) {
+        double factor = Math.min(1, toCalls / Math.max(1, baseline.calls()));
+        return new RouteBaseline(
+                baseline.route(),
+                Math.round(baseline.calls() * factor),
+                Math.round(baseline.failures() * factor),
+                Math.round(baseline.timedCalls() * factor),
+                Math.round(baseline.slow() * factor),
+                baseline.slowBucket());
     }
 
     private static RouteBaseline plus(RouteBaseline earlier, EvidenceTotals oldTotals) {
