Run a keyed call once, wherever and whenever it is repeated

Cause: a caller's own repeat of a print order after an unknown end ran again.

First reads are spread over 1.5 s; a node that is a root for a moment does not watch the platform; one bridge a pair.

--- a/oriolewind-bench/src/main/java/org/oriolewind/bench/ControlBench.java
+++ b/oriolewind-bench/src/main/java/org/oriolewind/bench/ControlBench.java
@@ -214,6 +214,8 @@
                 micros.getMaxValue() / 1000.0,
                 bytes / mNodes / CHANGES,
                 CHANGES / seconds);
+        int headBytes = mClient.GET(mUrl + "/objects/mesh/config").getContent().length;
+        print("head object: %d bytes with %d services", headBytes, SERVICES);
     }
 
     private static double processCpuSeconds() {
--- a/oriolewind-bench/src/main/java/org/oriolewind/bench/RequestBench.java
+++ b/oriolewind-bench/src/main/java/org/oriolewind/bench/RequestBench.java
@@ -1,6 +1,8 @@
 package org.oriolewind.bench;
 
 import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
@@ -12,7 +14,7 @@
 
 /**
  * Measures the request path with real processes: {@code RequestBench latency}, {@code data-centre},
- * {@code kill}, {@code cold} or {@code drain}.
+ * {@code kill}, {@code cold}, {@code drain} or {@code idle}.
  */
 public final class RequestBench {
     private static final String NOTE =
@@ -57,6 +59,12 @@
                 cold(mesh);
             }
         },
+        IDLE {
+            @Override
+            void run(BenchMesh mesh) throws Exception {
+                idle(mesh);
+            }
+        },
         DRAIN {
             @Override
             void run(BenchMesh mesh) throws Exception {
@@ -302,6 +310,42 @@
         mesh.printRuns(prints);
     }
 
+    /** Processor time and memory of nodes that have nothing to do, and after some load. */
+    private static void idle(BenchMesh mesh) throws Exception {
+        addBadgeWorks(mesh);
+        mesh.start(NOTE, List.of());
+        Thread.sleep(10_000);
+        double cpuBefore = cpuSeconds(mesh);
+        Thread.sleep(30_000);
+        double cpu = (cpuSeconds(mesh) - cpuBefore) / 30 / mesh.nodes().size();
+        System.out.printf("idle: %.2f%% of a core a node%n", cpu * 100);
+        printMemory(mesh, "idle");
+        phase(mesh, "load", 15, callerUrls(mesh), mondayLoad(0.3), new ArrayList<>());
+        printMemory(mesh, "after load");
+    }
+
+    private static void printMemory(BenchMesh mesh, String when) throws IOException {
+        long sum = 0;
+        long most = 0;
+        for (NodeProcess node : mesh.nodes()) {
+            long kilobytes = residentKilobytes(mesh.process(node.name()).pid());
+            sum += kilobytes;
+            most = Math.max(most, kilobytes);
+        }
+        System.out.printf(
+                "%s: resident memory %d kB a node, %d kB at most%n",
+                when, sum / mesh.nodes().size(), most);
+    }
+
+    private static long residentKilobytes(long pid) throws IOException {
+        return Files.readAllLines(Path.of("/proc/" + pid + "/status")).stream()
+                .filter(line -> line.startsWith("VmRSS:"))
+                .map(line -> line.replaceAll("[^0-9]", ""))
+                .mapToLong(Long::parseLong)
+                .findFirst()
+                .orElse(0);
+    }
+
     private static void drain(BenchMesh mesh) throws Exception {
         addBadgeWorks(mesh);
         mesh.start(NOTE, List.of());
--- a/oriolewind-core/src/main/java/org/oriolewind/control/BridgeKeeper.java
+++ b/oriolewind-core/src/main/java/org/oriolewind/control/BridgeKeeper.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeSet;
 import org.oriolewind.wire.Hello;
 import org.oriolewind.wire.LinkPurpose;
@@ -57,16 +58,16 @@
             closeAll();
             return;
         }
-        for (String dataCentre : otherDataCentres()) {
+        for (String dataCentre : laterDataCentres()) {
             keep(mBridges.computeIfAbsent(dataCentre, Bridge::new));
         }
     }
 
-    private TreeSet<String> otherDataCentres() {
+    /** Returns the data centres to dial. Of each pair the one whose name comes first dials. */
+    private Set<String> laterDataCentres() {
         TreeSet<String> others = new TreeSet<>(mLeadAddresses.keySet());
         mContext.mMembers.all().forEach(member -> others.add(member.getDataCentre()));
-        others.remove(mContext.dataCentre());
-        return others;
+        return others.tailSet(mContext.dataCentre(), false);
     }
 
     private void closeAll() {
--- a/oriolewind-core/src/main/java/org/oriolewind/control/ControlNode.java
+++ b/oriolewind-core/src/main/java/org/oriolewind/control/ControlNode.java
@@ -2,9 +2,11 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 import org.oriolewind.config.InstalledConfig;
 import org.oriolewind.event.EventSink;
+import org.oriolewind.keys.KeyDuty;
 import org.oriolewind.lease.Candidacy;
 import org.oriolewind.lease.LeaseKeeper;
 import org.oriolewind.lease.LeaseRecord;
@@ -13,6 +15,8 @@
 import org.oriolewind.rollout.EvidenceCollector;
 import org.oriolewind.time.HybridClock;
 import org.oriolewind.time.NodeClock;
+import org.oriolewind.wire.CallAnswer;
+import org.oriolewind.wire.CallRequest;
 import org.oriolewind.wire.Frame;
 import org.oriolewind.wire.Hello;
 import org.oriolewind.wire.LinkPurpose;
@@ -24,8 +28,8 @@
  * The control side of one node: its place in the tree, and the spread of configuration, membership
  * and evidence. A function of its inputs, the clock and the random source.
  *
- * <p>All methods belong to the control thread, but for {@link #directory()} and {@link
- * #configReady()}.
+ * <p>All methods belong to the control thread, but for {@link #directory()}, {@link #configReady()}
+ * and {@link #dutyAddress()}.
  */
 public final class ControlNode {
     private static final String ROLLOUT_DUTY = "rollout";
@@ -45,6 +49,7 @@
     private final RolloutDuty mRollout;
     private final StartupRead mStartup;
     private final VersionHints mHints;
+    private final KeyDuty mKeys;
     private long mNextHeartbeatMillis;
 
     /**
@@ -89,6 +94,7 @@
         mRollout = new RolloutDuty(mContext, mRolloutLease, mEvidence.ledger(), mConfigSpread);
         mStartup = new StartupRead(mContext, mConfigSpread);
         mHints = new VersionHints(mContext, mDials);
+        mKeys = new KeyDuty(gateway, clock);
         mMemberSpread.merge(List.of(self));
     }
 
@@ -115,11 +121,15 @@
         mBridges.tick(mTree.isRoot());
         mProber.tick();
         mHints.tick();
-        mFeed.tick(lead || mTree.isStandby() || mTree.isRoot());
+        mFeed.tick(lead || mTree.isStandby() || mTree.isLastingRoot());
         mMemberWriter.tick(lead, mLeadLease.term());
         mRolloutLease.tick(lead ? Candidacy.ANY : Candidacy.NONE);
         mEvidence.tick(mTree.parent(), mTree.isRoot());
         mRollout.tick();
+        mKeys.tick(mRolloutLease.isHeld(), mRolloutLease.term());
+        if (lead) {
+            mRolloutLease.seen().ifPresent(duty -> mTree.setDutyAddress(duty.address()));
+        }
         mMemberSpread.tick();
         beat();
     }
@@ -292,6 +302,25 @@
         mHints.onHeard(peerAddress, version);
     }
 
+    /**
+     * Takes a request to the key duty. It is refused unless this node holds the duty.
+     *
+     * @param request a request with a key operation
+     * @param done called once with the answer
+     */
+    public void onKeyRequest(CallRequest request, Consumer<CallAnswer> done) {
+        mKeys.onRequest(request, done);
+    }
+
+    /**
+     * Returns the peer address of the holder of the key duty. Safe for use by several threads.
+     *
+     * @return the address as last heard, empty if none was
+     */
+    public String dutyAddress() {
+        return mTree.dutyAddress();
+    }
+
     /**
      * Announces that this node takes no new work, or takes it again.
      *
--- a/oriolewind-core/src/main/java/org/oriolewind/control/EvidenceRelay.java
+++ b/oriolewind-core/src/main/java/org/oriolewind/control/EvidenceRelay.java
@@ -76,9 +76,7 @@
         parent.ifPresent(link -> send(link, sums));
         if (root) {
             mLedger.add(sums);
-            mContext.mLinks.bridges().stream()
-                    .filter(bridge -> bridge.mDialed)
-                    .forEach(bridge -> send(bridge, sums));
+            mContext.mLinks.bridges().forEach(bridge -> send(bridge, sums));
         }
     }
 
--- a/oriolewind-core/src/main/java/org/oriolewind/control/StartupRead.java
+++ b/oriolewind-core/src/main/java/org/oriolewind/control/StartupRead.java
@@ -19,6 +19,9 @@
 
     private static final long RETRY_JITTER_MILLIS = 2000;
 
+    /** Time over which the reads of a fleet that starts at once are spread. */
+    private static final long SPREAD_MILLIS = 1500;
+
     private final ControlContext mContext;
     private final ConfigSpread mConfigSpread;
     private final long mStartedMillis;
@@ -32,6 +35,7 @@
         mContext = context;
         mConfigSpread = configSpread;
         mStartedMillis = context.nowMillis();
+        mNextMillis = mStartedMillis + context.jitterMillis(SPREAD_MILLIS);
     }
 
     boolean isReady() {
--- a/oriolewind-core/src/main/java/org/oriolewind/control/TreeKeeper.java
+++ b/oriolewind-core/src/main/java/org/oriolewind/control/TreeKeeper.java
@@ -27,6 +27,7 @@
     private static final int RANDOM_CANDIDATES = 2;
     private static final long HANDSHAKE_TIMEOUT_MILLIS = 1000;
     private static final long SEARCH_PAUSE_MILLIS = 1000;
+    private static final long LASTING_ROOT_MILLIS = 5000;
     private static final long SEARCH_JITTER_MILLIS = 3000;
 
     private final ControlContext mContext;
@@ -39,7 +40,9 @@
     private String mLeadAddress = "";
     private long mLeadTerm;
     private long mLostLeadTerm = -1;
+    private long mRootSinceMillis;
     private String mStandby = "";
+    private volatile String mDutyAddress = "";
     private boolean mLeaseHeld;
     private boolean mDialing;
     private long mHandshakeLink = -1;
@@ -57,6 +60,11 @@
         return mParent.isEmpty() && !mPath.isEmpty();
     }
 
+    /** Returns whether this node has been a root for longer than a search for a parent takes. */
+    boolean isLastingRoot() {
+        return isRoot() && mContext.nowMillis() - mRootSinceMillis >= LASTING_ROOT_MILLIS;
+    }
+
     Optional<ControlLink> parent() {
         return mParent;
     }
@@ -344,6 +352,14 @@
                 .toList();
     }
 
+    void setDutyAddress(String address) {
+        mDutyAddress = address;
+    }
+
+    String dutyAddress() {
+        return mDutyAddress;
+    }
+
     Heartbeat heartbeat() {
         return Heartbeat.newBuilder()
                 .setMembersDigest(mContext.mMembers.digest())
@@ -351,6 +367,7 @@
                 .setLeadAddress(mLeadAddress)
                 .setLeadTerm(leadTerm())
                 .setStandby(mStandby)
+                .setDutyAddress(mDutyAddress)
                 .build();
     }
 
@@ -364,6 +381,9 @@
             return;
         }
         mStandby = heartbeat.getStandby();
+        if (!heartbeat.getDutyAddress().isEmpty()) {
+            mDutyAddress = heartbeat.getDutyAddress();
+        }
         mLeadTerm = heartbeat.getLeadTerm();
         if (!heartbeat.getLeadAddress().isEmpty()) {
             mLeadAddress = heartbeat.getLeadAddress();
@@ -405,6 +425,9 @@
     }
 
     private void setPath(List<String> path, String reason) {
+        if (path.size() == 1 && mPath.size() != 1) {
+            mRootSinceMillis = mContext.nowMillis();
+        }
         mPath = path;
         String root = path.isEmpty() ? null : path.get(0);
         mContext.record(EventKind.PARENT_CHANGED, root, path.size(), reason);
--- /dev/null
+++ b/oriolewind-core/src/main/java/org/oriolewind/keys/KeyJournal.java
@@ -0,0 +1,140 @@
+package org.oriolewind.keys;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.oriolewind.error.StepException;
+import org.oriolewind.platform.ObjectStore;
+import org.oriolewind.platform.PlatformException;
+import org.oriolewind.platform.StoredObject;
+
+/**
+ * The journal of claims: a ring of objects at the platform, each rewritten as a whole by
+ * conditional writes. A holder opens the journal by writing the current segment and the next one
+ * anew, so that no write of an earlier holder can take effect afterwards.
+ *
+ * <p>Not safe for use by several threads; used by one platform task at a time.
+ */
+final class KeyJournal {
+    /** Segments in the ring. */
+    static final int SEGMENTS = 64;
+
+    /** Lines of a segment, some 60 kilobytes. */
+    static final int MAX_ENTRIES = 1000;
+
+    /** Time for which a key is remembered at least. */
+    static final Duration RETENTION = Duration.ofMinutes(10);
+
+    private final long mTerm;
+    private final Map<Integer, Long> mVersions = new TreeMap<>();
+    private final Map<Integer, Instant> mWrittenAt = new TreeMap<>();
+    private KeySegment mCurrent;
+
+    private KeyJournal(long term) {
+        mTerm = term;
+    }
+
+    /** A journal that was opened and the claims that it holds, by key. */
+    record Opened(KeyJournal journal, Map<String, String> nonces) {}
+
+    static Opened open(ObjectStore store, long term, Instant now) throws StepException {
+        KeyJournal journal = new KeyJournal(term);
+        TreeMap<Long, KeySegment> bySequence = new TreeMap<>();
+        for (StoredObject stored : store.list(KeySegment.PREFIX).objects()) {
+            if (stored.value().isPresent()) {
+                KeySegment segment = KeySegment.decode(stored.value().get());
+                int slot = slot(segment.sequence());
+                journal.mVersions.put(slot, stored.version());
+                journal.mWrittenAt.put(slot, segment.writtenAt());
+                bySequence.put(segment.sequence(), segment);
+            }
+        }
+        Map<String, String> nonces = new TreeMap<>();
+        bySequence.values().forEach(segment -> replay(segment.entries(), nonces));
+        long sequence = bySequence.isEmpty() ? 0 : bySequence.lastKey();
+        List<KeyEntry> entries =
+                bySequence.isEmpty() ? List.of() : bySequence.get(sequence).entries();
+        journal.writeFence(store, sequence + 1, now);
+        journal.write(store, new KeySegment(sequence, term, now, entries));
+        return new Opened(journal, nonces);
+    }
+
+    private static void replay(List<KeyEntry> entries, Map<String, String> nonces) {
+        for (KeyEntry entry : entries) {
+            if (entry.released()) {
+                nonces.remove(entry.key(), entry.nonce());
+            } else {
+                nonces.put(entry.key(), entry.nonce());
+            }
+        }
+    }
+
+    private static int slot(long sequence) {
+        return (int) Math.floorMod(sequence, (long) SEGMENTS);
+    }
+
+    private static String objectKey(int slot) {
+        return String.format("%s%02d", KeySegment.PREFIX, slot);
+    }
+
+    /**
+     * Rewrites the slot after the current one without changing what it holds, so that an earlier
+     * holder that is about to go on to it fails.
+     */
+    private void writeFence(ObjectStore store, long sequence, Instant now) throws StepException {
+        int slot = slot(sequence);
+        Long version = mVersions.get(slot);
+        if (version == null) {
+            KeySegment empty = new KeySegment(sequence - SEGMENTS, mTerm, Instant.EPOCH, List.of());
+            mWrittenAt.put(slot, Instant.EPOCH);
+            mVersions.put(slot, store.put(objectKey(slot), empty.encode(), ObjectStore.ABSENT));
+            return;
+        }
+        StoredObject stored = store.get(objectKey(slot)).orElseThrow(() -> gone(slot));
+        byte[] value = stored.value().orElseThrow(() -> gone(slot));
+        mVersions.put(slot, store.put(objectKey(slot), value, version));
+    }
+
+    private static PlatformException gone(int slot) {
+        return new PlatformException(
+                PlatformException.Kind.CONFLICT,
+                "get " + objectKey(slot),
+                "platform",
+                "segment was deleted",
+                null);
+    }
+
+    private void write(ObjectStore store, KeySegment segment) throws PlatformException {
+        int slot = slot(segment.sequence());
+        long expected = mVersions.getOrDefault(slot, ObjectStore.ABSENT);
+        mVersions.put(slot, store.put(objectKey(slot), segment.encode(), expected));
+        mWrittenAt.put(slot, segment.writtenAt());
+        mCurrent = segment;
+    }
+
+    /** Returns how many lines can be added now without forgetting a key too early. */
+    int room(Instant now) {
+        int left = MAX_ENTRIES - mCurrent.entries().size();
+        Instant next = mWrittenAt.getOrDefault(slot(mCurrent.sequence() + 1), Instant.EPOCH);
+        boolean nextIsFree = !now.isBefore(next.plus(RETENTION));
+        return nextIsFree ? left + MAX_ENTRIES : left;
+    }
+
+    /** Adds lines; they are kept if this returns. */
+    void append(ObjectStore store, List<KeyEntry> entries, Instant now) throws PlatformException {
+        int left = MAX_ENTRIES - mCurrent.entries().size();
+        int first = Math.min(left, entries.size());
+        if (first > 0) {
+            List<KeyEntry> all = new ArrayList<>(mCurrent.entries());
+            all.addAll(entries.subList(0, first));
+            write(store, new KeySegment(mCurrent.sequence(), mTerm, now, all));
+        }
+        if (first < entries.size()) {
+            List<KeyEntry> rest = entries.subList(first, entries.size());
+            write(store, new KeySegment(mCurrent.sequence() + 1, mTerm, now, rest));
+        }
+    }
+}
--- /dev/null
+++ b/oriolewind-core/src/main/java/org/oriolewind/keys/KeySegment.java
@@ -0,0 +1,41 @@
+package org.oriolewind.keys;
+
+import java.io.IOException;
+import java.time.Instant;
+import java.util.List;
+import org.oriolewind.config.ConfigException;
+import org.oriolewind.config.JsonFormat;
+
+/**
+ * One object of the journal. Immutable.
+ *
+ * @param sequence number of the segment since the first; its slot in the ring follows from it
+ * @param term term of the duty holder that wrote it
+ * @param writtenAt when it was written last
+ * @param entries the lines in order
+ */
+public record KeySegment(long sequence, long term, Instant writtenAt, List<KeyEntry> entries) {
+    /** Start of the names of these objects; the slot follows. */
+    static final String PREFIX = "keys/";
+
+    /** Copies the list. */
+    public KeySegment {
+        entries = List.copyOf(entries);
+    }
+
+    byte[] encode() {
+        try {
+            return JsonFormat.mapper().writeValueAsBytes(this);
+        } catch (IOException e) {
+            throw new IllegalStateException("a record can be written", e);
+        }
+    }
+
+    static KeySegment decode(byte[] json) throws ConfigException {
+        try {
+            return JsonFormat.mapper().readValue(json, KeySegment.class);
+        } catch (IOException e) {
+            throw new ConfigException("platform", "key segment can't be read", e);
+        }
+    }
+}
--- a/oriolewind-core/src/main/java/org/oriolewind/lease/LeaseKeeper.java
+++ b/oriolewind-core/src/main/java/org/oriolewind/lease/LeaseKeeper.java
@@ -30,6 +30,9 @@
     /** Share of the duration by which a holder stops early, for drift between clocks. */
     private static final int SAFETY_DIVISOR = 10;
 
+    /** Time over which the first reads of a fleet that starts at once are spread. */
+    private static final long START_SPREAD_MILLIS = 1500;
+
     private final String mKey;
     private final String mHolder;
     private final long mIncarnation;
@@ -83,6 +86,7 @@
         mRandom = random;
         mGateway = gateway;
         mEvents = events;
+        mNextCallAtMillis = clock.monotonicMillis() + random.nextLong(START_SPREAD_MILLIS);
     }
 
     /**
--- a/oriolewind-core/src/main/java/org/oriolewind/request/CallDispatcher.java
+++ b/oriolewind-core/src/main/java/org/oriolewind/request/CallDispatcher.java
@@ -28,6 +28,7 @@
     private final PeerPort mPeers;
     private final EvidenceCollector mEvidence;
     private final LocalStops mStops;
+    private final KeyPort mKeys;
 
     /**
      * Creates a dispatcher.
@@ -39,6 +40,7 @@
      * @param peers the way to other nodes
      * @param evidence counts calls
      * @param stops versions that this node stopped sending to
+     * @param keys the way to the holder of the key duty
      */
     public CallDispatcher(
             RequestServices services,
@@ -47,7 +49,8 @@
             GateService gate,
             PeerPort peers,
             EvidenceCollector evidence,
-            LocalStops stops) {
+            LocalStops stops,
+            KeyPort keys) {
         mServices = services;
         mDirectory = directory;
         mEndpoints = new EndpointChooser(services.self().getDataCentre());
@@ -56,6 +59,7 @@
         mPeers = peers;
         mEvidence = evidence;
         mStops = stops;
+        mKeys = keys;
     }
 
     /**
@@ -73,7 +77,22 @@
         }
         ServiceConfig service = config.service(route.get().service()).orElseThrow();
         mRetryBudget.onCall();
-        new DispatchedCall(this, config, route.get(), service, call, done).send();
+        if (route.get().idempotent() || call.idempotencyKey().isEmpty()) {
+            new DispatchedCall(this, config, route.get(), service, call, done).send();
+            return;
+        }
+        long timeLeftMillis = call.deadlineMillis() - mServices.clock().monotonicMillis();
+        KeyedCall keyed =
+                new KeyedCall(
+                        mKeys,
+                        route.get().name(),
+                        call.idempotencyKey().get(),
+                        Long.toHexString(mServices.random().nextLong()),
+                        (int) Math.max(1, timeLeftMillis),
+                        done);
+        keyed.run(
+                ended ->
+                        new DispatchedCall(this, config, route.get(), service, call, ended).send());
     }
 
     Cancellable sendTo(Member target, CallRequest request, Consumer<CallAnswer> done) {
--- a/oriolewind-core/src/test/java/org/oriolewind/request/FakeCallNetwork.java
+++ b/oriolewind-core/src/test/java/org/oriolewind/request/FakeCallNetwork.java
@@ -33,6 +33,7 @@
     final FakeClock mClock = new FakeClock();
     final Map<String, Integer> mRuns = new HashMap<>();
     final List<FakeCallNode> mNodes = new ArrayList<>();
+    KeyPort mKeys = KeyPort.NONE;
     private final Random mRandom;
     private final double mFaultShare;
     private final PriorityQueue<Work> mQueue = new PriorityQueue<>();
@@ -105,7 +106,8 @@
                             mGate,
                             network::send,
                             new EvidenceCollector(),
-                            new LocalStops(event -> {}));
+                            new LocalStops(event -> {}),
+                            network.mKeys);
         }
 
         @Override
--- a/oriolewind-node/src/main/java/org/oriolewind/node/ControlRuntime.java
+++ b/oriolewind-node/src/main/java/org/oriolewind/node/ControlRuntime.java
@@ -1,20 +1,27 @@
 package org.oriolewind.node;
 
+import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 import org.oriolewind.control.ControlNode;
 import org.oriolewind.control.ControlSettings;
+import org.oriolewind.membership.MemberDirectory;
+import org.oriolewind.node.call.ControlSide;
 import org.oriolewind.node.call.NodeServices;
 import org.oriolewind.node.peer.ControlLinks;
 import org.oriolewind.node.peer.PeerListener;
 import org.oriolewind.node.store.PlatformThreads;
 import org.oriolewind.platform.ObjectStore;
+import org.oriolewind.request.CallAnswers;
 import org.oriolewind.rollout.EvidenceCollector;
+import org.oriolewind.wire.CallAnswer;
+import org.oriolewind.wire.CallRequest;
+import org.oriolewind.wire.NotRunReason;
 
 /**
  * The control side of a node with its thread, its connections and its way to the platform. Safe for
  * use by several threads.
  */
-public final class ControlRuntime implements AutoCloseable {
+public final class ControlRuntime implements ControlSide, AutoCloseable {
     private final ControlThread mThread;
     private final PlatformThreads mPlatform;
     private final ControlLinks mLinks;
@@ -83,16 +90,34 @@
         return mLinks;
     }
 
-    /**
-     * Takes word of a newer configuration, heard along a call. Dropped when the ring is full.
-     *
-     * @param peerAddress the other node's peer address
-     * @param version its configuration version
-     */
+    @Override
     public void onNewerVersion(String peerAddress, long version) {
         mThread.offer(() -> mNode.onNewerVersionHeard(peerAddress, version));
     }
 
+    @Override
+    public MemberDirectory directory() {
+        return mNode.directory();
+    }
+
+    @Override
+    public boolean isReady() {
+        return mNode.configReady();
+    }
+
+    @Override
+    public void onKeyRequest(CallRequest request, Consumer<CallAnswer> done) {
+        boolean taken = mThread.offer(() -> mNode.onKeyRequest(request, done));
+        if (!taken) {
+            done.accept(CallAnswers.notRun(NotRunReason.NOT_RUN_REASON_KEY_UNSETTLED));
+        }
+    }
+
+    @Override
+    public String dutyAddress() {
+        return mNode.dutyAddress();
+    }
+
     /** Stops all work but leaves the connections open, as a process does that hangs. */
     public void freeze() {
         mThread.close();
--- a/oriolewind-node/src/main/java/org/oriolewind/node/Node.java
+++ b/oriolewind-node/src/main/java/org/oriolewind/node/Node.java
@@ -136,9 +136,7 @@
                 text(mSettings.backend()),
                 mSettings.gate(),
                 mSettings.limits(),
-                mControl.node()::directory,
-                mControl.node()::configReady,
-                mControl::onNewerVersion,
+                mControl,
                 evidence);
     }
 
--- a/oriolewind-node/src/main/java/org/oriolewind/node/call/PeerCallServer.java
+++ b/oriolewind-node/src/main/java/org/oriolewind/node/call/PeerCallServer.java
@@ -3,6 +3,8 @@
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.BiConsumer;
+import java.util.function.Consumer;
 import org.oriolewind.node.peer.PeerConnection;
 import org.oriolewind.node.peer.PeerListener;
 import org.oriolewind.request.CallAnswers;
@@ -11,6 +13,7 @@
 import org.oriolewind.wire.CallAnswer;
 import org.oriolewind.wire.CallRequest;
 import org.oriolewind.wire.Frame;
+import org.oriolewind.wire.KeyOperation;
 import org.oriolewind.wire.NotRunReason;
 
 /**
@@ -21,12 +24,18 @@
     private final GateService mGate;
     private final FrameStamp mStamp;
     private final int mMaxStreams;
+    private final BiConsumer<CallRequest, Consumer<CallAnswer>> mKeys;
     private final Map<Long, Peer> mPeers = new ConcurrentHashMap<>();
 
-    PeerCallServer(GateService gate, FrameStamp stamp, int maxStreams) {
+    PeerCallServer(
+            GateService gate,
+            FrameStamp stamp,
+            int maxStreams,
+            BiConsumer<CallRequest, Consumer<CallAnswer>> keys) {
         mGate = gate;
         mStamp = stamp;
         mMaxStreams = maxStreams;
+        mKeys = keys;
     }
 
     /** The calls in progress of one connection. */
@@ -96,7 +105,11 @@
         }
         OpenCall open = new OpenCall();
         peer.mCalls.put(request.getStream(), open);
-        open.set(mGate.serve(request, answer -> answer(connection, peer, request, answer)));
+        if (request.getKeyOperation() == KeyOperation.KEY_OPERATION_UNSPECIFIED) {
+            open.set(mGate.serve(request, answer -> answer(connection, peer, request, answer)));
+        } else {
+            mKeys.accept(request, answer -> answer(connection, peer, request, answer));
+        }
     }
 
     private void answer(
--- a/oriolewind-node/src/main/java/org/oriolewind/node/call/RequestPath.java
+++ b/oriolewind-node/src/main/java/org/oriolewind/node/call/RequestPath.java
@@ -2,13 +2,10 @@
 
 import com.codahale.metrics.Gauge;
 import com.codahale.metrics.MetricRegistry;
-import java.util.function.BooleanSupplier;
-import java.util.function.ObjLongConsumer;
-import java.util.function.Supplier;
+import java.util.function.Consumer;
 import org.eclipse.jetty.server.Handler;
 import org.oriolewind.admission.Gate;
 import org.oriolewind.admission.GateSettings;
-import org.oriolewind.membership.MemberDirectory;
 import org.oriolewind.node.peer.PeerListener;
 import org.oriolewind.request.BackendSignals;
 import org.oriolewind.request.CallDispatcher;
@@ -18,6 +15,8 @@
 import org.oriolewind.rollout.EvidenceCollector;
 import org.oriolewind.rollout.LocalStops;
 import org.oriolewind.routing.RetryBudget;
+import org.oriolewind.wire.CallAnswer;
+import org.oriolewind.wire.CallRequest;
 
 /**
  * The request path of a node, put together: from callers to other nodes, and through the gate to
@@ -39,9 +38,7 @@
      * @param backendAddress the backend server's address
      * @param gateSettings settings of the gate
      * @param limits limits towards callers
-     * @param directory the members that take calls
-     * @param ready whether the node may take calls
-     * @param onNewerVersion told of a peer with a newer configuration
+     * @param control the control side
      * @param evidence counts calls
      */
     public RequestPath(
@@ -49,9 +46,7 @@
             String backendAddress,
             GateSettings gateSettings,
             CallerLimits limits,
-            Supplier<MemberDirectory> directory,
-            BooleanSupplier ready,
-            ObjLongConsumer<String> onNewerVersion,
+            ControlSide control,
             EvidenceCollector evidence) {
         RequestServices request =
                 new RequestServices(
@@ -61,27 +56,43 @@
                         services.config(),
                         new CallEvents(services.events(), limits.callEventShare()),
                         new CallMeters(services.registry()));
-        FrameStamp stamp = new FrameStamp(services.config(), services.hybrid(), onNewerVersion);
+        FrameStamp stamp =
+                new FrameStamp(services.config(), services.hybrid(), control::onNewerVersion);
         mGate = new Gate(gateSettings, services.clock());
         mSignals = new BackendSignals(services.clock());
         BackendClient backend =
                 new BackendClient(services.httpClient(), backendAddress, limits.maxBodyBytes());
         GateService gateService = new GateService(request, mGate, backend, mSignals);
         mPeers = new PeerCalls(services, stamp, limits.maxStreams());
-        mPeerServer = new PeerCallServer(gateService, stamp, limits.maxStreams());
+        mPeerServer =
+                new PeerCallServer(gateService, stamp, limits.maxStreams(), control::onKeyRequest);
         CallDispatcher dispatcher =
                 new CallDispatcher(
                         request,
-                        directory,
+                        control::directory,
                         new RetryBudget(limits.retriesPerCall(), MAX_SAVED_RETRIES),
                         gateService,
                         mPeers,
                         evidence,
-                        new LocalStops(services.events()));
-        mCallerHandler = new CallerHandler(dispatcher, services.clock(), ready, limits);
+                        new LocalStops(services.events()),
+                        (key, done) -> sendKeyRequest(services, control, key, done));
+        mCallerHandler = new CallerHandler(dispatcher, services.clock(), control::isReady, limits);
         registerGauges(services.registry());
     }
 
+    private void sendKeyRequest(
+            NodeServices services,
+            ControlSide control,
+            CallRequest request,
+            Consumer<CallAnswer> done) {
+        String address = control.dutyAddress();
+        if (address.equals(services.self().getPeerAddress())) {
+            control.onKeyRequest(request, done);
+        } else {
+            mPeers.send(address, request, done);
+        }
+    }
+
     private void registerGauges(MetricRegistry registry) {
         registry.register("gate.limit", (Gauge<Integer>) () -> mGate.load().limit());
         registry.register("gate.in_flight", (Gauge<Integer>) () -> mGate.load().inFlight());
--- a/oriolewind-standins/src/test/java/org/oriolewind/standins/NodeTest.java
+++ b/oriolewind-standins/src/test/java/org/oriolewind/standins/NodeTest.java
@@ -153,6 +153,54 @@
         }
     }
 
+    /** The same key at two nodes, at once and again later, runs once. */
+    @Test
+    void sameKeyRunsOnceWhereverItIsSent() throws Exception {
+        awaitKeyDuty();
+        List<CompletableFuture<HttpResponse<String>>> atOnce = new ArrayList<>();
+        for (int i = 0; i < 6; i++) {
+            int port = i % 2 == 0 ? mNode.caller() : mOther.caller();
+            atOnce.add(
+                    mMesh.mClient.sendAsync(
+                            keyed(port, "key-1").build(), HttpResponse.BodyHandlers.ofString()));
+        }
+        int answered = 0;
+        for (CompletableFuture<HttpResponse<String>> call : atOnce) {
+            String outcome = outcome(call.get());
+            assertTrue(outcome.equals("answered") || outcome.equals("unknown"), outcome);
+            answered += outcome.equals("answered") ? 1 : 0;
+        }
+        assertTrue(answered >= 1);
+        assertEquals(1, runs("keyed-key-1"));
+        HttpResponse<String> later = mMesh.send(keyed(mOther.caller(), "key-1"));
+        assertEquals("answered", outcome(later));
+        assertEquals("done keyed-key-1\n", later.body());
+        assertEquals(1, runs("keyed-key-1"));
+    }
+
+    private HttpRequest.Builder keyed(int port, String key) {
+        return HttpRequest.newBuilder(LocalMesh.uri(port, "/print"))
+                .POST(HttpRequest.BodyPublishers.ofString("order"))
+                .header(CallHeaders.IDEMPOTENCY_KEY, key)
+                .header(BackendHandler.REQUEST_ID, "keyed-" + key);
+    }
+
+    /** Waits until a holder of the key duty is known at both nodes. */
+    private void awaitKeyDuty() throws Exception {
+        int[] tries = new int[1];
+        for (int port : new int[] {mNode.caller(), mOther.caller()}) {
+            LocalMesh.await(
+                    () -> {
+                        try {
+                            var call = keyed(port, "try-" + port + "-" + tries[0]++);
+                            return outcome(mMesh.send(call)).equals("answered");
+                        } catch (Exception e) {
+                            throw new AssertionError(e);
+                        }
+                    });
+        }
+    }
+
     /** A node that ends lets its calls end; callers of other nodes notice nothing. */
     @Test
     void gracefulShutdownCutsNoCall() throws Exception {
--- a/oriolewind-wire/src/main/java/org/oriolewind/wire/CallOutcome.java
+++ b/oriolewind-wire/src/main/java/org/oriolewind/wire/CallOutcome.java
@@ -139,7 +139,7 @@
   }
   public static com.google.protobuf.Descriptors.EnumDescriptor
       getDescriptor() {
-    return org.oriolewind.wire.Peer.getDescriptor().getEnumType(2);
+    return org.oriolewind.wire.Peer.getDescriptor().getEnumType(3);
   }
 
   private static final CallOutcome[] VALUES = values();
--- a/oriolewind-wire/src/main/java/org/oriolewind/wire/CallRequest.java
+++ b/oriolewind-wire/src/main/java/org/oriolewind/wire/CallRequest.java
@@ -37,6 +37,7 @@
     body_ = com.google.protobuf.ByteString.EMPTY;
     idempotencyKey_ = "";
     callId_ = "";
+    keyOperation_ = 0;
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -426,6 +427,34 @@
     }
   }
 
+  public static final int KEY_OPERATION_FIELD_NUMBER = 14;
+  private int keyOperation_ = 0;
+  /**
+   * <pre>
+   * Set on requests to the key duty, which are no calls for a backend server. The key's digest is
+   * in idempotency_key, the claim's nonce in call_id.
+   * </pre>
+   *
+   * <code>.oriolewind.KeyOperation key_operation = 14;</code>
+   * @return The enum numeric value on the wire for keyOperation.
+   */
+  @java.lang.Override public int getKeyOperationValue() {
+    return keyOperation_;
+  }
+  /**
+   * <pre>
+   * Set on requests to the key duty, which are no calls for a backend server. The key's digest is
+   * in idempotency_key, the claim's nonce in call_id.
+   * </pre>
+   *
+   * <code>.oriolewind.KeyOperation key_operation = 14;</code>
+   * @return The keyOperation.
+   */
+  @java.lang.Override public org.oriolewind.wire.KeyOperation getKeyOperation() {
+    org.oriolewind.wire.KeyOperation result = org.oriolewind.wire.KeyOperation.forNumber(keyOperation_);
+    return result == null ? org.oriolewind.wire.KeyOperation.UNRECOGNIZED : result;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -479,6 +508,9 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(callId_)) {
       com.google.protobuf.GeneratedMessage.writeString(output, 13, callId_);
     }
+    if (keyOperation_ != org.oriolewind.wire.KeyOperation.KEY_OPERATION_UNSPECIFIED.getNumber()) {
+      output.writeEnum(14, keyOperation_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -533,6 +565,10 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(callId_)) {
       size += com.google.protobuf.GeneratedMessage.computeStringSize(13, callId_);
     }
+    if (keyOperation_ != org.oriolewind.wire.KeyOperation.KEY_OPERATION_UNSPECIFIED.getNumber()) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeEnumSize(14, keyOperation_);
+    }
     return size;
   }
   @java.lang.Override
@@ -583,6 +619,7 @@
         .equals(other.getIdempotencyKey())) return false;
     if (!getCallId()
         .equals(other.getCallId())) return false;
+    if (keyOperation_ != other.keyOperation_) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -624,6 +661,8 @@
     hash = (53 * hash) + getIdempotencyKey().hashCode();
     hash = (37 * hash) + CALL_ID_FIELD_NUMBER;
     hash = (53 * hash) + getCallId().hashCode();
+    hash = (37 * hash) + KEY_OPERATION_FIELD_NUMBER;
+    hash = (53 * hash) + keyOperation_;
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -774,6 +813,7 @@
       idempotent_ = false;
       idempotencyKey_ = "";
       callId_ = "";
+      keyOperation_ = 0;
       return this;
     }
 
@@ -856,6 +896,9 @@
       if (((from_bitField0_ & 0x00001000) != 0)) {
         result.callId_ = callId_;
       }
+      if (((from_bitField0_ & 0x00002000) != 0)) {
+        result.keyOperation_ = keyOperation_;
+      }
     }
 
     @java.lang.Override
@@ -946,6 +989,9 @@
         bitField0_ |= 0x00001000;
         onChanged();
       }
+      if (other.keyOperation_ != 0) {
+        setKeyOperationValue(other.getKeyOperationValue());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -1043,6 +1089,11 @@
               bitField0_ |= 0x00001000;
               break;
             } // case 106
+            case 112: {
+              keyOperation_ = input.readEnum();
+              bitField0_ |= 0x00002000;
+              break;
+            } // case 112
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1958,6 +2009,83 @@
       return this;
     }
 
+    private int keyOperation_ = 0;
+    /**
+     * <pre>
+     * Set on requests to the key duty, which are no calls for a backend server. The key's digest is
+     * in idempotency_key, the claim's nonce in call_id.
+     * </pre>
+     *
+     * <code>.oriolewind.KeyOperation key_operation = 14;</code>
+     * @return The enum numeric value on the wire for keyOperation.
+     */
+    @java.lang.Override public int getKeyOperationValue() {
+      return keyOperation_;
+    }
+    /**
+     * <pre>
+     * Set on requests to the key duty, which are no calls for a backend server. The key's digest is
+     * in idempotency_key, the claim's nonce in call_id.
+     * </pre>
+     *
+     * <code>.oriolewind.KeyOperation key_operation = 14;</code>
+     * @param value The enum numeric value on the wire for keyOperation to set.
+     * @return This builder for chaining.
+     */
+    public Builder setKeyOperationValue(int value) {
+      keyOperation_ = value;
+      bitField0_ |= 0x00002000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Set on requests to the key duty, which are no calls for a backend server. The key's digest is
+     * in idempotency_key, the claim's nonce in call_id.
+     * </pre>
+     *
+     * <code>.oriolewind.KeyOperation key_operation = 14;</code>
+     * @return The keyOperation.
+     */
+    @java.lang.Override
+    public org.oriolewind.wire.KeyOperation getKeyOperation() {
+      org.oriolewind.wire.KeyOperation result = org.oriolewind.wire.KeyOperation.forNumber(keyOperation_);
+      return result == null ? org.oriolewind.wire.KeyOperation.UNRECOGNIZED : result;
+    }
+    /**
+     * <pre>
+     * Set on requests to the key duty, which are no calls for a backend server. The key's digest is
+     * in idempotency_key, the claim's nonce in call_id.
+     * </pre>
+     *
+     * <code>.oriolewind.KeyOperation key_operation = 14;</code>
+     * @param value The keyOperation to set.
+     * @throws IllegalArgumentException if UNRECOGNIZED is provided.
+     * @return This builder for chaining.
+     */
+    public Builder setKeyOperation(org.oriolewind.wire.KeyOperation value) {
+      java.util.Objects.requireNonNull(value);
+      bitField0_ |= 0x00002000;
+      keyOperation_ = value.getNumber();
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Set on requests to the key duty, which are no calls for a backend server. The key's digest is
+     * in idempotency_key, the claim's nonce in call_id.
+     * </pre>
+     *
+     * <code>.oriolewind.KeyOperation key_operation = 14;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearKeyOperation() {
+      bitField0_ = (bitField0_ & ~0x00002000);
+      keyOperation_ = 0;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:oriolewind.CallRequest)
   }
 
--- a/oriolewind-wire/src/main/java/org/oriolewind/wire/CallRequestOrBuilder.java
+++ b/oriolewind-wire/src/main/java/org/oriolewind/wire/CallRequestOrBuilder.java
@@ -147,4 +147,25 @@
    */
   com.google.protobuf.ByteString
       getCallIdBytes();
+
+  /**
+   * <pre>
+   * Set on requests to the key duty, which are no calls for a backend server. The key's digest is
+   * in idempotency_key, the claim's nonce in call_id.
+   * </pre>
+   *
+   * <code>.oriolewind.KeyOperation key_operation = 14;</code>
+   * @return The enum numeric value on the wire for keyOperation.
+   */
+  int getKeyOperationValue();
+  /**
+   * <pre>
+   * Set on requests to the key duty, which are no calls for a backend server. The key's digest is
+   * in idempotency_key, the claim's nonce in call_id.
+   * </pre>
+   *
+   * <code>.oriolewind.KeyOperation key_operation = 14;</code>
+   * @return The keyOperation.
+   */
+  org.oriolewind.wire.KeyOperation getKeyOperation();
 }
--- a/oriolewind-wire/src/main/java/org/oriolewind/wire/Heartbeat.java
+++ b/oriolewind-wire/src/main/java/org/oriolewind/wire/Heartbeat.java
@@ -32,6 +32,7 @@
         com.google.protobuf.LazyStringArrayList.emptyList();
     leadAddress_ = "";
     standby_ = "";
+    dutyAddress_ = "";
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -189,6 +190,53 @@
     }
   }
 
+  public static final int DUTY_ADDRESS_FIELD_NUMBER = 6;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object dutyAddress_ = "";
+  /**
+   * <pre>
+   * Holder of the mesh's duty for rollout and keys.
+   * </pre>
+   *
+   * <code>string duty_address = 6;</code>
+   * @return The dutyAddress.
+   */
+  @java.lang.Override
+  public java.lang.String getDutyAddress() {
+    java.lang.Object ref = dutyAddress_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      dutyAddress_ = s;
+      return s;
+    }
+  }
+  /**
+   * <pre>
+   * Holder of the mesh's duty for rollout and keys.
+   * </pre>
+   *
+   * <code>string duty_address = 6;</code>
+   * @return The bytes for dutyAddress.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getDutyAddressBytes() {
+    java.lang.Object ref = dutyAddress_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      dutyAddress_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -218,6 +266,9 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(standby_)) {
       com.google.protobuf.GeneratedMessage.writeString(output, 5, standby_);
     }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(dutyAddress_)) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 6, dutyAddress_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -244,6 +295,9 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(standby_)) {
       size += com.google.protobuf.GeneratedMessage.computeStringSize(5, standby_);
     }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(dutyAddress_)) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(6, dutyAddress_);
+    }
     return size;
   }
   @java.lang.Override
@@ -278,6 +332,8 @@
         != other.getLeadTerm()) return false;
     if (!getStandby()
         .equals(other.getStandby())) return false;
+    if (!getDutyAddress()
+        .equals(other.getDutyAddress())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -303,6 +359,8 @@
         getLeadTerm());
     hash = (37 * hash) + STANDBY_FIELD_NUMBER;
     hash = (53 * hash) + getStandby().hashCode();
+    hash = (37 * hash) + DUTY_ADDRESS_FIELD_NUMBER;
+    hash = (53 * hash) + getDutyAddress().hashCode();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -440,6 +498,7 @@
       leadAddress_ = "";
       leadTerm_ = 0L;
       standby_ = "";
+      dutyAddress_ = "";
       return this;
     }
 
@@ -489,6 +548,9 @@
       if (((from_bitField0_ & 0x00000010) != 0)) {
         result.standby_ = standby_;
       }
+      if (((from_bitField0_ & 0x00000020) != 0)) {
+        result.dutyAddress_ = dutyAddress_;
+      }
     }
 
     @java.lang.Override
@@ -529,6 +591,11 @@
         bitField0_ |= 0x00000010;
         onChanged();
       }
+      if (!other.getDutyAddress().isEmpty()) {
+        dutyAddress_ = other.dutyAddress_;
+        bitField0_ |= 0x00000020;
+        onChanged();
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -578,6 +645,11 @@
               bitField0_ |= 0x00000010;
               break;
             } // case 42
+            case 50: {
+              dutyAddress_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00000020;
+              break;
+            } // case 50
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -914,6 +986,98 @@
       return this;
     }
 
+    private java.lang.Object dutyAddress_ = "";
+    /**
+     * <pre>
+     * Holder of the mesh's duty for rollout and keys.
+     * </pre>
+     *
+     * <code>string duty_address = 6;</code>
+     * @return The dutyAddress.
+     */
+    public java.lang.String getDutyAddress() {
+      java.lang.Object ref = dutyAddress_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        dutyAddress_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <pre>
+     * Holder of the mesh's duty for rollout and keys.
+     * </pre>
+     *
+     * <code>string duty_address = 6;</code>
+     * @return The bytes for dutyAddress.
+     */
+    public com.google.protobuf.ByteString
+        getDutyAddressBytes() {
+      java.lang.Object ref = dutyAddress_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        dutyAddress_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <pre>
+     * Holder of the mesh's duty for rollout and keys.
+     * </pre>
+     *
+     * <code>string duty_address = 6;</code>
+     * @param value The dutyAddress to set.
+     * @return This builder for chaining.
+     */
+    public Builder setDutyAddress(
+        java.lang.String value) {
+      java.util.Objects.requireNonNull(value);
+      dutyAddress_ = value;
+      bitField0_ |= 0x00000020;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Holder of the mesh's duty for rollout and keys.
+     * </pre>
+     *
+     * <code>string duty_address = 6;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearDutyAddress() {
+      dutyAddress_ = getDefaultInstance().getDutyAddress();
+      bitField0_ = (bitField0_ & ~0x00000020);
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Holder of the mesh's duty for rollout and keys.
+     * </pre>
+     *
+     * <code>string duty_address = 6;</code>
+     * @param value The bytes for dutyAddress to set.
+     * @return This builder for chaining.
+     */
+    public Builder setDutyAddressBytes(
+        com.google.protobuf.ByteString value) {
+      java.util.Objects.requireNonNull(value);
+      checkByteStringIsUtf8(value);
+      dutyAddress_ = value;
+      bitField0_ |= 0x00000020;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:oriolewind.Heartbeat)
   }
 
--- a/oriolewind-wire/src/main/java/org/oriolewind/wire/HeartbeatOrBuilder.java
+++ b/oriolewind-wire/src/main/java/org/oriolewind/wire/HeartbeatOrBuilder.java
@@ -70,4 +70,24 @@
    */
   com.google.protobuf.ByteString
       getStandbyBytes();
+
+  /**
+   * <pre>
+   * Holder of the mesh's duty for rollout and keys.
+   * </pre>
+   *
+   * <code>string duty_address = 6;</code>
+   * @return The dutyAddress.
+   */
+  java.lang.String getDutyAddress();
+  /**
+   * <pre>
+   * Holder of the mesh's duty for rollout and keys.
+   * </pre>
+   *
+   * <code>string duty_address = 6;</code>
+   * @return The bytes for dutyAddress.
+   */
+  com.google.protobuf.ByteString
+      getDutyAddressBytes();
 }
--- a/oriolewind-wire/src/main/java/org/oriolewind/wire/NotRunReason.java
+++ b/oriolewind-wire/src/main/java/org/oriolewind/wire/NotRunReason.java
@@ -51,6 +51,14 @@
    * <code>NOT_RUN_REASON_REFUSED_BY_BACKEND = 9;</code>
    */
   NOT_RUN_REASON_REFUSED_BY_BACKEND(9),
+  /**
+   * <pre>
+   * The key of the call could not be claimed.
+   * </pre>
+   *
+   * <code>NOT_RUN_REASON_KEY_UNSETTLED = 10;</code>
+   */
+  NOT_RUN_REASON_KEY_UNSETTLED(10),
   UNRECOGNIZED(-1),
   ;
 
@@ -103,6 +111,14 @@
    * <code>NOT_RUN_REASON_REFUSED_BY_BACKEND = 9;</code>
    */
   public static final int NOT_RUN_REASON_REFUSED_BY_BACKEND_VALUE = 9;
+  /**
+   * <pre>
+   * The key of the call could not be claimed.
+   * </pre>
+   *
+   * <code>NOT_RUN_REASON_KEY_UNSETTLED = 10;</code>
+   */
+  public static final int NOT_RUN_REASON_KEY_UNSETTLED_VALUE = 10;
 
 
   public final int getNumber() {
@@ -139,6 +155,7 @@
       case 7: return NOT_RUN_REASON_KEY_CONFLICT;
       case 8: return NOT_RUN_REASON_DATA_CENTRE_OUT;
       case 9: return NOT_RUN_REASON_REFUSED_BY_BACKEND;
+      case 10: return NOT_RUN_REASON_KEY_UNSETTLED;
       default: return null;
     }
   }
@@ -169,7 +186,7 @@
   }
   public static com.google.protobuf.Descriptors.EnumDescriptor
       getDescriptor() {
-    return org.oriolewind.wire.Peer.getDescriptor().getEnumType(3);
+    return org.oriolewind.wire.Peer.getDescriptor().getEnumType(4);
   }
 
   private static final NotRunReason[] VALUES = values();
