Tell other nodes when a node ends, so that no call is in doubt

The node was idle when it closed its connections, but calls sent in that moment were on their way, and the sender could not know. Ruled out: calls cut at the gate (in flight was 0) and lost answers (the backend servers ran none of them).

Change: a node that ends stops accepting connections, tells each peer the last stream it took, answers those, and waits for the peers to close. Later streams are not run, for certain. Callers' connections end with their next answer.

--- a/oriolewind-node/src/main/java/org/oriolewind/node/Node.java
+++ b/oriolewind-node/src/main/java/org/oriolewind/node/Node.java
@@ -11,6 +11,7 @@
 import java.io.IOException;
 import java.io.OutputStream;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.BooleanSupplier;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.client.transport.HttpClientTransportOverHTTP;
 import org.eclipse.jetty.io.ClientConnector;
@@ -272,34 +273,44 @@
     @Override
     public void close() {
         drain();
+        mRequestPath.beginLeaving();
         awaitIdle();
+        mTransport.close();
+        mRequestPath.goAway();
+        await(LEAVE_NOTICE_MILLIS, mRequestPath::isLeft);
         mEvents.record(Event.of(EventKind.DRAIN_ENDED, null, 0, null));
         mEvents.record(Event.of(EventKind.NODE_STOPPED, null, 0, null));
         stopQuietly("caller server", mCallerServer::stop);
         stopQuietly("admin server", mAdminServer::stop);
         mControl.close();
-        mTransport.close();
         stopQuietly("http client", mHttpClient::stop);
         mPeerThreads.shutdownGracefully(0, 1, java.util.concurrent.TimeUnit.SECONDS);
         mEvents.close();
     }
 
     private void awaitIdle() {
-        long deadlineMillis = mClock.monotonicMillis() + mSettings.drainTimeout().toMillis();
         // Others need a moment to hear that this node leaves; calls sent before are refused here
         // as not run and go elsewhere.
-        long settledMillis = mClock.monotonicMillis() + LEAVE_NOTICE_MILLIS;
+        await(LEAVE_NOTICE_MILLIS, () -> false);
+        if (!await(mSettings.drainTimeout().toMillis(), mRequestPath::isIdle)) {
+            Logger.warn("calls in progress are cut: the drain timeout has passed");
+        }
+    }
+
+    private boolean await(long timeoutMillis, BooleanSupplier condition) {
+        long deadlineMillis = mClock.monotonicMillis() + timeoutMillis;
         try {
-            while (mClock.monotonicMillis() < deadlineMillis) {
-                if (mRequestPath.isIdle() && mClock.monotonicMillis() >= settledMillis) {
-                    return;
+            while (!condition.getAsBoolean()) {
+                if (mClock.monotonicMillis() >= deadlineMillis) {
+                    return false;
                 }
                 Thread.sleep(DRAIN_POLL_MILLIS);
             }
+            return true;
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
+            return false;
         }
-        Logger.warn("calls in progress are cut: the drain timeout has passed");
     }
 
     /** Something that stops and may fail to. */
--- a/oriolewind-node/src/main/java/org/oriolewind/node/call/CallerHandler.java
+++ b/oriolewind-node/src/main/java/org/oriolewind/node/call/CallerHandler.java
@@ -39,6 +39,7 @@
     private final CallDispatcher mDispatcher;
     private final NodeClock mClock;
     private final BooleanSupplier mReady;
+    private final BooleanSupplier mLeaving;
     private final CallerLimits mLimits;
     private final AtomicInteger mOpenCalls = new AtomicInteger();
 
@@ -46,10 +47,12 @@
             CallDispatcher dispatcher,
             NodeClock clock,
             BooleanSupplier ready,
+            BooleanSupplier leaving,
             CallerLimits limits) {
         mDispatcher = dispatcher;
         mClock = clock;
         mReady = ready;
+        mLeaving = leaving;
         mLimits = limits;
     }
 
@@ -182,6 +185,9 @@
     }
 
     private void write(Response response, Callback callback, CallResult result) {
+        if (mLeaving.getAsBoolean()) {
+            response.getHeaders().put(HttpHeader.CONNECTION, "close");
+        }
         if (result.kind() == CallResult.Kind.NO_ROUTE) {
             response.getHeaders().put(CallHeaders.OUTCOME, "not-run");
             writeJson(response, callback, 404, new Problem("no-route", result.detail()));
--- a/oriolewind-node/src/main/java/org/oriolewind/node/call/PeerCallLink.java
+++ b/oriolewind-node/src/main/java/org/oriolewind/node/call/PeerCallLink.java
@@ -45,6 +45,7 @@
     private final List<Pending> mUnsent = new ArrayList<>();
     private PeerConnection mConnection;
     private boolean mClosed;
+    private boolean mPeerEnds;
     private long mNextStream = 1;
     private long mHeardMillis;
 
@@ -91,6 +92,7 @@
     /** Sends a call, or returns empty if the connection is closed. */
     Optional<Cancellable> send(CallRequest request, Consumer<CallAnswer> done) {
         Pending pending;
+        NotRunReason refusal = NotRunReason.NOT_RUN_REASON_OVERLOADED;
         synchronized (this) {
             if (mClosed) {
                 return Optional.empty();
@@ -98,7 +100,9 @@
             boolean full =
                     mPending.size() >= mMaxStreams
                             || mConnection != null && !mConnection.isWritable();
-            if (!full) {
+            if (mPeerEnds) {
+                refusal = NotRunReason.NOT_RUN_REASON_LEAVING;
+            } else if (!full) {
                 long stream = mNextStream++;
                 pending =
                         new Pending(
@@ -117,7 +121,7 @@
                 return Optional.of(() -> cancel(stream));
             }
         }
-        done.accept(CallAnswers.notRun(NotRunReason.NOT_RUN_REASON_OVERLOADED));
+        done.accept(CallAnswers.notRun(refusal));
         return Optional.of(() -> {});
     }
 
@@ -152,11 +156,15 @@
     @Override
     public void onFrame(PeerConnection connection, Frame frame) {
         mStamp.observe(frame, mPeerAddress);
-        if (!frame.hasCallAnswer()) {
-            connection.abort();
-            return;
+        switch (frame.getBodyCase()) {
+            case CALL_ANSWER -> onAnswer(frame.getCallAnswer());
+            case CALL_GO_AWAY -> onGoAway(frame.getCallGoAway().getLastStream());
+            default -> connection.abort();
         }
-        CallAnswer answer = frame.getCallAnswer();
+        closeIfEnded(connection);
+    }
+
+    private void onAnswer(CallAnswer answer) {
         Pending pending;
         synchronized (this) {
             mHeardMillis = mClock.monotonicMillis();
@@ -168,6 +176,32 @@
         }
     }
 
+    /** The other node ends: what it has not taken is not run, for certain. */
+    private void onGoAway(long lastStream) {
+        List<Pending> notTaken = new ArrayList<>();
+        synchronized (this) {
+            mPeerEnds = true;
+            for (Pending pending : mPending.values()) {
+                if (pending.stream() > lastStream) {
+                    notTaken.add(pending);
+                }
+            }
+            notTaken.forEach(pending -> mPending.remove(pending.stream()));
+        }
+        CallAnswer notRun = CallAnswers.notRun(NotRunReason.NOT_RUN_REASON_LEAVING);
+        notTaken.forEach(pending -> pending.done().accept(notRun));
+    }
+
+    private void closeIfEnded(PeerConnection connection) {
+        boolean ended;
+        synchronized (this) {
+            ended = mPeerEnds && mPending.isEmpty();
+        }
+        if (ended) {
+            connection.close();
+        }
+    }
+
     @Override
     public void onClosed(PeerConnection connection) {
         endAll();
--- a/oriolewind-node/src/main/java/org/oriolewind/node/call/PeerCallServer.java
+++ b/oriolewind-node/src/main/java/org/oriolewind/node/call/PeerCallServer.java
@@ -11,6 +11,7 @@
 import org.oriolewind.request.Cancellable;
 import org.oriolewind.request.GateService;
 import org.oriolewind.wire.CallAnswer;
+import org.oriolewind.wire.CallGoAway;
 import org.oriolewind.wire.CallRequest;
 import org.oriolewind.wire.Frame;
 import org.oriolewind.wire.KeyOperation;
@@ -42,9 +43,55 @@
     private static final class Peer {
         final Map<Long, Cancellable> mCalls = new ConcurrentHashMap<>();
         final AtomicInteger mStreams = new AtomicInteger();
-        long mLastStream;
+        final PeerConnection mConnection;
+        private long mLastStream;
+        private boolean mEnding;
+
+        Peer(PeerConnection connection) {
+            mConnection = connection;
+        }
+
+        /** Takes a stream id, which must grow, so that a late answer can't meet another call. */
+        synchronized Admission admit(long stream) {
+            if (mEnding) {
+                return Admission.IGNORED;
+            }
+            if (stream <= mLastStream) {
+                return Admission.INVALID;
+            }
+            mLastStream = stream;
+            return Admission.TAKEN;
+        }
+
+        /** Takes no more streams, and returns the last one taken. */
+        synchronized long end() {
+            mEnding = true;
+            return mLastStream;
+        }
     }
 
+    /** What becomes of a request. */
+    private enum Admission {
+        TAKEN,
+        /** The connection was told that later streams are not run. */
+        IGNORED,
+        INVALID
+    }
+
+    /** Tells all connections that no later call is run here. Those taken are still answered. */
+    void goAway() {
+        for (Peer peer : mPeers.values()) {
+            CallGoAway goAway = CallGoAway.newBuilder().setLastStream(peer.end()).build();
+            peer.mConnection.send(mStamp.newFrame().setCallGoAway(goAway).build());
+        }
+    }
+
+    /** Returns whether no other node has a connection open that carries calls to this one. */
+    boolean isIdle() {
+        return mPeers.isEmpty();
+    }
+
+
     /** A call that can be cancelled before the gate has returned. */
     private static final class OpenCall implements Cancellable {
         private Cancellable mCall;
@@ -69,7 +116,7 @@
     @Override
     public void onHello(PeerConnection connection, Frame frame) {
         mStamp.observe(frame, frame.getHello().getSelf().getPeerAddress());
-        mPeers.put(connection.id(), new Peer());
+        mPeers.put(connection.id(), new Peer(connection));
     }
 
     @Override
@@ -92,12 +139,13 @@
     }
 
     private void onRequest(PeerConnection connection, Peer peer, CallRequest request) {
-        // Stream ids only grow, so that a late answer can never meet another call.
-        if (request.getStream() <= peer.mLastStream) {
+        Admission admission = peer.admit(request.getStream());
+        if (admission == Admission.INVALID) {
             connection.abort();
+        }
+        if (admission != Admission.TAKEN) {
             return;
         }
-        peer.mLastStream = request.getStream();
         if (peer.mStreams.incrementAndGet() > mMaxStreams) {
             NotRunReason overloaded = NotRunReason.NOT_RUN_REASON_OVERLOADED;
             answer(connection, peer, request, CallAnswers.notRun(overloaded));
--- a/oriolewind-node/src/main/java/org/oriolewind/node/call/RequestPath.java
+++ b/oriolewind-node/src/main/java/org/oriolewind/node/call/RequestPath.java
@@ -30,6 +30,7 @@
     private final PeerCalls mPeers;
     private final PeerCallServer mPeerServer;
     private final CallerHandler mCallerHandler;
+    private volatile boolean mLeaving;
 
     /**
      * Puts the request path together.
@@ -76,7 +77,7 @@
                         evidence,
                         new LocalStops(services.events()),
                         (key, done) -> sendKeyRequest(services, control, key, done));
-        mCallerHandler = new CallerHandler(dispatcher, services.clock(), control::isReady, limits);
+        mCallerHandler = new CallerHandler(dispatcher, services.clock(), control::isReady, () -> mLeaving, limits);
         registerGauges(services.registry());
     }
 
@@ -145,6 +146,28 @@
         return mCallerHandler.openCalls() == 0 && mGate.load().inFlight() == 0;
     }
 
+    /** Ends callers' connections with their next answers. */
+    public void beginLeaving() {
+        mLeaving = true;
+    }
+
+    /**
+     * Tells other nodes that no later call is run here, so that none that crosses the end of this
+     * node is in doubt.
+     */
+    public void goAway() {
+        mPeerServer.goAway();
+    }
+
+    /**
+     * Returns whether no other node has a connection open that carries calls to this one.
+     *
+     * @return true once all have taken note of the end
+     */
+    public boolean isLeft() {
+        return mPeerServer.isIdle();
+    }
+
     /** Ends calls whose time has run out. To be called several times a second. */
     public void tick() {
         mGate.tick();
--- a/oriolewind-wire/src/main/java/org/oriolewind/wire/Frame.java
+++ b/oriolewind-wire/src/main/java/org/oriolewind/wire/Frame.java
@@ -65,6 +65,7 @@
     CALL_REQUEST(11),
     CALL_ANSWER(12),
     CALL_CANCEL(13),
+    CALL_GO_AWAY(14),
     BODY_NOT_SET(0);
     private final int value;
     private BodyCase(int value) {
@@ -93,6 +94,7 @@
         case 11: return CALL_REQUEST;
         case 12: return CALL_ANSWER;
         case 13: return CALL_CANCEL;
+        case 14: return CALL_GO_AWAY;
         case 0: return BODY_NOT_SET;
         default: return null;
       }
@@ -479,6 +481,37 @@
     return org.oriolewind.wire.CallCancel.getDefaultInstance();
   }
 
+  public static final int CALL_GO_AWAY_FIELD_NUMBER = 14;
+  /**
+   * <code>.oriolewind.CallGoAway call_go_away = 14;</code>
+   * @return Whether the callGoAway field is set.
+   */
+  @java.lang.Override
+  public boolean hasCallGoAway() {
+    return bodyCase_ == 14;
+  }
+  /**
+   * <code>.oriolewind.CallGoAway call_go_away = 14;</code>
+   * @return The callGoAway.
+   */
+  @java.lang.Override
+  public org.oriolewind.wire.CallGoAway getCallGoAway() {
+    if (bodyCase_ == 14) {
+       return (org.oriolewind.wire.CallGoAway) body_;
+    }
+    return org.oriolewind.wire.CallGoAway.getDefaultInstance();
+  }
+  /**
+   * <code>.oriolewind.CallGoAway call_go_away = 14;</code>
+   */
+  @java.lang.Override
+  public org.oriolewind.wire.CallGoAwayOrBuilder getCallGoAwayOrBuilder() {
+    if (bodyCase_ == 14) {
+       return (org.oriolewind.wire.CallGoAway) body_;
+    }
+    return org.oriolewind.wire.CallGoAway.getDefaultInstance();
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -532,6 +565,9 @@
     if (bodyCase_ == 13) {
       output.writeMessage(13, (org.oriolewind.wire.CallCancel) body_);
     }
+    if (bodyCase_ == 14) {
+      output.writeMessage(14, (org.oriolewind.wire.CallGoAway) body_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -588,6 +624,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(13, (org.oriolewind.wire.CallCancel) body_);
     }
+    if (bodyCase_ == 14) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(14, (org.oriolewind.wire.CallGoAway) body_);
+    }
     return size;
   }
   @java.lang.Override
@@ -662,6 +702,10 @@
         if (!getCallCancel()
             .equals(other.getCallCancel())) return false;
         break;
+      case 14:
+        if (!getCallGoAway()
+            .equals(other.getCallGoAway())) return false;
+        break;
       case 0:
       default:
     }
@@ -727,6 +771,10 @@
         hash = (37 * hash) + CALL_CANCEL_FIELD_NUMBER;
         hash = (53 * hash) + getCallCancel().hashCode();
         break;
+      case 14:
+        hash = (37 * hash) + CALL_GO_AWAY_FIELD_NUMBER;
+        hash = (53 * hash) + getCallGoAway().hashCode();
+        break;
       case 0:
       default:
     }
@@ -896,6 +944,9 @@
       if (callCancelBuilder_ != null) {
         callCancelBuilder_.clear();
       }
+      if (callGoAwayBuilder_ != null) {
+        callGoAwayBuilder_.clear();
+      }
       bodyCase_ = 0;
       body_ = null;
       return this;
@@ -987,6 +1038,10 @@
           callCancelBuilder_ != null) {
         result.body_ = callCancelBuilder_.build();
       }
+      if (bodyCase_ == 14 &&
+          callGoAwayBuilder_ != null) {
+        result.body_ = callGoAwayBuilder_.build();
+      }
     }
 
     @java.lang.Override
@@ -1052,6 +1107,10 @@
           mergeCallCancel(other.getCallCancel());
           break;
         }
+        case CALL_GO_AWAY: {
+          mergeCallGoAway(other.getCallGoAway());
+          break;
+        }
         case BODY_NOT_SET: {
           break;
         }
@@ -1167,6 +1226,13 @@
               bodyCase_ = 13;
               break;
             } // case 106
+            case 114: {
+              input.readMessage(
+                  internalGetCallGoAwayFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bodyCase_ = 14;
+              break;
+            } // case 114
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -2827,6 +2893,146 @@
       return callCancelBuilder_;
     }
 
+    private com.google.protobuf.SingleFieldBuilder<
+        org.oriolewind.wire.CallGoAway, org.oriolewind.wire.CallGoAway.Builder, org.oriolewind.wire.CallGoAwayOrBuilder> callGoAwayBuilder_;
+    /**
+     * <code>.oriolewind.CallGoAway call_go_away = 14;</code>
+     * @return Whether the callGoAway field is set.
+     */
+    @java.lang.Override
+    public boolean hasCallGoAway() {
+      return bodyCase_ == 14;
+    }
+    /**
+     * <code>.oriolewind.CallGoAway call_go_away = 14;</code>
+     * @return The callGoAway.
+     */
+    @java.lang.Override
+    public org.oriolewind.wire.CallGoAway getCallGoAway() {
+      if (callGoAwayBuilder_ == null) {
+        if (bodyCase_ == 14) {
+          return (org.oriolewind.wire.CallGoAway) body_;
+        }
+        return org.oriolewind.wire.CallGoAway.getDefaultInstance();
+      } else {
+        if (bodyCase_ == 14) {
+          return callGoAwayBuilder_.getMessage();
+        }
+        return org.oriolewind.wire.CallGoAway.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.oriolewind.CallGoAway call_go_away = 14;</code>
+     */
+    public Builder setCallGoAway(org.oriolewind.wire.CallGoAway value) {
+      if (callGoAwayBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        body_ = value;
+        onChanged();
+      } else {
+        callGoAwayBuilder_.setMessage(value);
+      }
+      bodyCase_ = 14;
+      return this;
+    }
+    /**
+     * <code>.oriolewind.CallGoAway call_go_away = 14;</code>
+     */
+    public Builder setCallGoAway(
+        org.oriolewind.wire.CallGoAway.Builder builderForValue) {
+      if (callGoAwayBuilder_ == null) {
+        body_ = builderForValue.build();
+        onChanged();
+      } else {
+        callGoAwayBuilder_.setMessage(builderForValue.build());
+      }
+      bodyCase_ = 14;
+      return this;
+    }
+    /**
+     * <code>.oriolewind.CallGoAway call_go_away = 14;</code>
+     */
+    public Builder mergeCallGoAway(org.oriolewind.wire.CallGoAway value) {
+      if (callGoAwayBuilder_ == null) {
+        if (bodyCase_ == 14 &&
+            body_ != org.oriolewind.wire.CallGoAway.getDefaultInstance()) {
+          body_ = org.oriolewind.wire.CallGoAway.newBuilder((org.oriolewind.wire.CallGoAway) body_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          body_ = value;
+        }
+        onChanged();
+      } else {
+        if (bodyCase_ == 14) {
+          callGoAwayBuilder_.mergeFrom(value);
+        } else {
+          callGoAwayBuilder_.setMessage(value);
+        }
+      }
+      bodyCase_ = 14;
+      return this;
+    }
+    /**
+     * <code>.oriolewind.CallGoAway call_go_away = 14;</code>
+     */
+    public Builder clearCallGoAway() {
+      if (callGoAwayBuilder_ == null) {
+        if (bodyCase_ == 14) {
+          bodyCase_ = 0;
+          body_ = null;
+          onChanged();
+        }
+      } else {
+        if (bodyCase_ == 14) {
+          bodyCase_ = 0;
+          body_ = null;
+        }
+        callGoAwayBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.oriolewind.CallGoAway call_go_away = 14;</code>
+     */
+    public org.oriolewind.wire.CallGoAway.Builder getCallGoAwayBuilder() {
+      return internalGetCallGoAwayFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.oriolewind.CallGoAway call_go_away = 14;</code>
+     */
+    @java.lang.Override
+    public org.oriolewind.wire.CallGoAwayOrBuilder getCallGoAwayOrBuilder() {
+      if ((bodyCase_ == 14) && (callGoAwayBuilder_ != null)) {
+        return callGoAwayBuilder_.getMessageOrBuilder();
+      } else {
+        if (bodyCase_ == 14) {
+          return (org.oriolewind.wire.CallGoAway) body_;
+        }
+        return org.oriolewind.wire.CallGoAway.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.oriolewind.CallGoAway call_go_away = 14;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.oriolewind.wire.CallGoAway, org.oriolewind.wire.CallGoAway.Builder, org.oriolewind.wire.CallGoAwayOrBuilder> 
+        internalGetCallGoAwayFieldBuilder() {
+      if (callGoAwayBuilder_ == null) {
+        if (!(bodyCase_ == 14)) {
+          body_ = org.oriolewind.wire.CallGoAway.getDefaultInstance();
+        }
+        callGoAwayBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.oriolewind.wire.CallGoAway, org.oriolewind.wire.CallGoAway.Builder, org.oriolewind.wire.CallGoAwayOrBuilder>(
+                (org.oriolewind.wire.CallGoAway) body_,
+                getParentForChildren(),
+                isClean());
+        body_ = null;
+      }
+      bodyCase_ = 14;
+      onChanged();
+      return callGoAwayBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:oriolewind.Frame)
   }
 
--- a/oriolewind-wire/src/main/java/org/oriolewind/wire/FrameOrBuilder.java
+++ b/oriolewind-wire/src/main/java/org/oriolewind/wire/FrameOrBuilder.java
@@ -195,5 +195,20 @@
    */
   org.oriolewind.wire.CallCancelOrBuilder getCallCancelOrBuilder();
 
+  /**
+   * <code>.oriolewind.CallGoAway call_go_away = 14;</code>
+   * @return Whether the callGoAway field is set.
+   */
+  boolean hasCallGoAway();
+  /**
+   * <code>.oriolewind.CallGoAway call_go_away = 14;</code>
+   * @return The callGoAway.
+   */
+  org.oriolewind.wire.CallGoAway getCallGoAway();
+  /**
+   * <code>.oriolewind.CallGoAway call_go_away = 14;</code>
+   */
+  org.oriolewind.wire.CallGoAwayOrBuilder getCallGoAwayOrBuilder();
+
   org.oriolewind.wire.Frame.BodyCase getBodyCase();
 }
--- a/oriolewind-wire/src/main/java/org/oriolewind/wire/Peer.java
+++ b/oriolewind-wire/src/main/java/org/oriolewind/wire/Peer.java
@@ -106,6 +106,11 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_oriolewind_CallCancel_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_oriolewind_CallGoAway_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_oriolewind_CallGoAway_fieldAccessorTable;
 
   public static com.google.protobuf.Descriptors.FileDescriptor
       getDescriptor() {
@@ -115,7 +120,7 @@
       descriptor;
   static {
     java.lang.String[] descriptorData = {
-      "\n\npeer.proto\022\noriolewind\"\271\004\n\005Frame\022\026\n\016co" +
+      "\n\npeer.proto\022\noriolewind\"\351\004\n\005Frame\022\026\n\016co" +
       "nfig_version\030\001 \001(\004\022\023\n\013hybrid_time\030\002 \001(\004\022" +
       "\"\n\005hello\030\003 \001(\0132\021.oriolewind.HelloH\000\022&\n\007w" +
       "elcome\030\004 \001(\0132\023.oriolewind.WelcomeH\000\022(\n\010r" +
@@ -129,74 +134,76 @@
       "ortH\000\022/\n\014call_request\030\013 \001(\0132\027.oriolewind" +
       ".CallRequestH\000\022-\n\013call_answer\030\014 \001(\0132\026.or" +
       "iolewind.CallAnswerH\000\022-\n\013call_cancel\030\r \001" +
-      "(\0132\026.oriolewind.CallCancelH\000B\006\n\004body\"\322\001\n" +
-      "\006Member\022\014\n\004node\030\001 \001(\t\022\023\n\013incarnation\030\002 \001" +
-      "(\004\022\020\n\010sequence\030\003 \001(\004\022&\n\005state\030\004 \001(\0162\027.or" +
-      "iolewind.MemberState\022\023\n\013data_centre\030\005 \001(" +
-      "\t\022\017\n\007service\030\006 \001(\t\022\027\n\017service_version\030\007 " +
-      "\001(\t\022\024\n\014peer_address\030\010 \001(\t\022\026\n\016caller_addr" +
-      "ess\030\t \001(\t\"k\n\005Hello\022(\n\007purpose\030\001 \001(\0162\027.or" +
-      "iolewind.LinkPurpose\022 \n\004self\030\002 \001(\0132\022.ori" +
-      "olewind.Member\022\026\n\016members_digest\030\003 \001(\004\"R" +
-      "\n\007Welcome\022\014\n\004node\030\001 \001(\t\022\023\n\013incarnation\030\002" +
-      " \001(\004\022\026\n\016members_digest\030\003 \001(\004\022\014\n\004path\030\004 \003" +
-      "(\t\"\"\n\010Redirect\022\026\n\016peer_addresses\030\001 \003(\t\"\201" +
-      "\001\n\tHeartbeat\022\026\n\016members_digest\030\001 \001(\004\022\014\n\004" +
-      "path\030\002 \003(\t\022\024\n\014lead_address\030\003 \001(\t\022\021\n\tlead" +
-      "_term\030\004 \001(\004\022\017\n\007standby\030\005 \001(\t\022\024\n\014duty_add" +
-      "ress\030\006 \001(\t\"\265\001\n\014ConfigUpdate\022\024\n\014from_vers" +
-      "ion\030\001 \001(\004\022\017\n\007version\030\002 \001(\004\022\016\n\006digest\030\003 \001" +
-      "(\014\0220\n\004puts\030\004 \003(\0132\".oriolewind.ConfigUpda" +
-      "te.PutsEntry\022\017\n\007removes\030\005 \003(\t\032+\n\tPutsEnt" +
-      "ry\022\013\n\003key\030\001 \001(\t\022\r\n\005value\030\002 \001(\t:\0028\001\"\"\n\nCo" +
-      "nfigPull\022\024\n\014have_version\030\001 \001(\004\"B\n\014Member" +
-      "Update\022#\n\007members\030\001 \003(\0132\022.oriolewind.Mem" +
-      "ber\022\r\n\005whole\030\002 \001(\010\"\250\001\n\rEvidenceCount\022\017\n\007" +
-      "service\030\001 \001(\t\022\027\n\017service_version\030\002 \001(\t\022\r" +
-      "\n\005route\030\003 \001(\t\022\r\n\005calls\030\004 \001(\004\022\020\n\010failures" +
-      "\030\005 \001(\004\022\022\n\ncold_calls\030\006 \001(\004\022\020\n\010refusals\030\007" +
-      " \001(\004\022\027\n\017latency_buckets\030\010 \003(\r\";\n\016Evidenc" +
-      "eReport\022)\n\006counts\030\001 \003(\0132\031.oriolewind.Evi" +
-      "denceCount\"%\n\006Header\022\014\n\004name\030\001 \001(\t\022\r\n\005va" +
-      "lue\030\002 \001(\t\"\274\002\n\013CallRequest\022\016\n\006stream\030\001 \001(" +
-      "\004\022\017\n\007service\030\002 \001(\t\022\027\n\017service_version\030\003 " +
-      "\001(\t\022\r\n\005route\030\004 \001(\t\022\016\n\006method\030\005 \001(\t\022\014\n\004pa" +
-      "th\030\006 \001(\t\022#\n\007headers\030\007 \003(\0132\022.oriolewind.H" +
-      "eader\022\014\n\004body\030\010 \001(\014\022\026\n\016timeout_millis\030\t " +
-      "\001(\r\022\014\n\004hops\030\n \001(\r\022\022\n\nidempotent\030\013 \001(\010\022\027\n" +
-      "\017idempotency_key\030\014 \001(\t\022\017\n\007call_id\030\r \001(\t\022" +
-      "/\n\rkey_operation\030\016 \001(\0162\030.oriolewind.KeyO" +
-      "peration\"\203\002\n\nCallAnswer\022\016\n\006stream\030\001 \001(\004\022" +
-      "(\n\007outcome\030\002 \001(\0162\027.oriolewind.CallOutcom" +
-      "e\0220\n\016not_run_reason\030\003 \001(\0162\030.oriolewind.N" +
-      "otRunReason\022\016\n\006status\030\004 \001(\r\022#\n\007headers\030\005" +
-      " \003(\0132\022.oriolewind.Header\022\014\n\004body\030\006 \001(\014\022\026" +
-      "\n\016service_micros\030\007 \001(\004\022\014\n\004cold\030\010 \001(\010\022\r\n\005" +
-      "limit\030\t \001(\r\022\021\n\tin_flight\030\n \001(\r\"\034\n\nCallCa" +
-      "ncel\022\016\n\006stream\030\001 \001(\004*\214\001\n\013LinkPurpose\022\034\n\030" +
-      "LINK_PURPOSE_UNSPECIFIED\020\000\022\026\n\022LINK_PURPO" +
-      "SE_CHILD\020\001\022\027\n\023LINK_PURPOSE_BRIDGE\020\002\022\026\n\022L" +
-      "INK_PURPOSE_PROBE\020\003\022\026\n\022LINK_PURPOSE_CALL" +
-      "S\020\004*q\n\013MemberState\022\034\n\030MEMBER_STATE_UNSPE" +
-      "CIFIED\020\000\022\023\n\017MEMBER_STATE_UP\020\001\022\030\n\024MEMBER_" +
-      "STATE_LEAVING\020\002\022\025\n\021MEMBER_STATE_DOWN\020\003*y" +
-      "\n\014KeyOperation\022\035\n\031KEY_OPERATION_UNSPECIF" +
-      "IED\020\000\022\027\n\023KEY_OPERATION_CLAIM\020\001\022\031\n\025KEY_OP" +
-      "ERATION_RELEASE\020\002\022\026\n\022KEY_OPERATION_DONE\020" +
-      "\003*z\n\013CallOutcome\022\034\n\030CALL_OUTCOME_UNSPECI" +
-      "FIED\020\000\022\031\n\025CALL_OUTCOME_ANSWERED\020\001\022\030\n\024CAL" +
-      "L_OUTCOME_NOT_RUN\020\002\022\030\n\024CALL_OUTCOME_UNKN" +
-      "OWN\020\003*\362\002\n\014NotRunReason\022\036\n\032NOT_RUN_REASON" +
-      "_UNSPECIFIED\020\000\022\035\n\031NOT_RUN_REASON_OVERLOA" +
-      "DED\020\001\022\032\n\026NOT_RUN_REASON_LEAVING\020\002\022\032\n\026NOT" +
-      "_RUN_REASON_EXPIRED\020\003\022\037\n\033NOT_RUN_REASON_" +
-      "WRONG_TARGET\020\004\022\036\n\032NOT_RUN_REASON_UNREACH" +
-      "ABLE\020\005\022\034\n\030NOT_RUN_REASON_CANCELLED\020\006\022\037\n\033" +
-      "NOT_RUN_REASON_KEY_CONFLICT\020\007\022\"\n\036NOT_RUN" +
-      "_REASON_DATA_CENTRE_OUT\020\010\022%\n!NOT_RUN_REA" +
-      "SON_REFUSED_BY_BACKEND\020\t\022 \n\034NOT_RUN_REAS" +
-      "ON_KEY_UNSETTLED\020\nB\027\n\023org.oriolewind.wir" +
-      "eP\001b\006proto3"
+      "(\0132\026.oriolewind.CallCancelH\000\022.\n\014call_go_" +
+      "away\030\016 \001(\0132\026.oriolewind.CallGoAwayH\000B\006\n\004" +
+      "body\"\322\001\n\006Member\022\014\n\004node\030\001 \001(\t\022\023\n\013incarna" +
+      "tion\030\002 \001(\004\022\020\n\010sequence\030\003 \001(\004\022&\n\005state\030\004 " +
+      "\001(\0162\027.oriolewind.MemberState\022\023\n\013data_cen" +
+      "tre\030\005 \001(\t\022\017\n\007service\030\006 \001(\t\022\027\n\017service_ve" +
+      "rsion\030\007 \001(\t\022\024\n\014peer_address\030\010 \001(\t\022\026\n\016cal" +
+      "ler_address\030\t \001(\t\"k\n\005Hello\022(\n\007purpose\030\001 " +
+      "\001(\0162\027.oriolewind.LinkPurpose\022 \n\004self\030\002 \001" +
+      "(\0132\022.oriolewind.Member\022\026\n\016members_digest" +
+      "\030\003 \001(\004\"R\n\007Welcome\022\014\n\004node\030\001 \001(\t\022\023\n\013incar" +
+      "nation\030\002 \001(\004\022\026\n\016members_digest\030\003 \001(\004\022\014\n\004" +
+      "path\030\004 \003(\t\"\"\n\010Redirect\022\026\n\016peer_addresses" +
+      "\030\001 \003(\t\"\201\001\n\tHeartbeat\022\026\n\016members_digest\030\001" +
+      " \001(\004\022\014\n\004path\030\002 \003(\t\022\024\n\014lead_address\030\003 \001(\t" +
+      "\022\021\n\tlead_term\030\004 \001(\004\022\017\n\007standby\030\005 \001(\t\022\024\n\014" +
+      "duty_address\030\006 \001(\t\"\265\001\n\014ConfigUpdate\022\024\n\014f" +
+      "rom_version\030\001 \001(\004\022\017\n\007version\030\002 \001(\004\022\016\n\006di" +
+      "gest\030\003 \001(\014\0220\n\004puts\030\004 \003(\0132\".oriolewind.Co" +
+      "nfigUpdate.PutsEntry\022\017\n\007removes\030\005 \003(\t\032+\n" +
+      "\tPutsEntry\022\013\n\003key\030\001 \001(\t\022\r\n\005value\030\002 \001(\t:\002" +
+      "8\001\"\"\n\nConfigPull\022\024\n\014have_version\030\001 \001(\004\"B" +
+      "\n\014MemberUpdate\022#\n\007members\030\001 \003(\0132\022.oriole" +
+      "wind.Member\022\r\n\005whole\030\002 \001(\010\"\250\001\n\rEvidenceC" +
+      "ount\022\017\n\007service\030\001 \001(\t\022\027\n\017service_version" +
+      "\030\002 \001(\t\022\r\n\005route\030\003 \001(\t\022\r\n\005calls\030\004 \001(\004\022\020\n\010" +
+      "failures\030\005 \001(\004\022\022\n\ncold_calls\030\006 \001(\004\022\020\n\010re" +
+      "fusals\030\007 \001(\004\022\027\n\017latency_buckets\030\010 \003(\r\";\n" +
+      "\016EvidenceReport\022)\n\006counts\030\001 \003(\0132\031.oriole" +
+      "wind.EvidenceCount\"%\n\006Header\022\014\n\004name\030\001 \001" +
+      "(\t\022\r\n\005value\030\002 \001(\t\"\274\002\n\013CallRequest\022\016\n\006str" +
+      "eam\030\001 \001(\004\022\017\n\007service\030\002 \001(\t\022\027\n\017service_ve" +
+      "rsion\030\003 \001(\t\022\r\n\005route\030\004 \001(\t\022\016\n\006method\030\005 \001" +
+      "(\t\022\014\n\004path\030\006 \001(\t\022#\n\007headers\030\007 \003(\0132\022.orio" +
+      "lewind.Header\022\014\n\004body\030\010 \001(\014\022\026\n\016timeout_m" +
+      "illis\030\t \001(\r\022\014\n\004hops\030\n \001(\r\022\022\n\nidempotent\030" +
+      "\013 \001(\010\022\027\n\017idempotency_key\030\014 \001(\t\022\017\n\007call_i" +
+      "d\030\r \001(\t\022/\n\rkey_operation\030\016 \001(\0162\030.oriolew" +
+      "ind.KeyOperation\"\203\002\n\nCallAnswer\022\016\n\006strea" +
+      "m\030\001 \001(\004\022(\n\007outcome\030\002 \001(\0162\027.oriolewind.Ca" +
+      "llOutcome\0220\n\016not_run_reason\030\003 \001(\0162\030.orio" +
+      "lewind.NotRunReason\022\016\n\006status\030\004 \001(\r\022#\n\007h" +
+      "eaders\030\005 \003(\0132\022.oriolewind.Header\022\014\n\004body" +
+      "\030\006 \001(\014\022\026\n\016service_micros\030\007 \001(\004\022\014\n\004cold\030\010" +
+      " \001(\010\022\r\n\005limit\030\t \001(\r\022\021\n\tin_flight\030\n \001(\r\"\034" +
+      "\n\nCallCancel\022\016\n\006stream\030\001 \001(\004\"!\n\nCallGoAw" +
+      "ay\022\023\n\013last_stream\030\001 \001(\004*\214\001\n\013LinkPurpose\022" +
+      "\034\n\030LINK_PURPOSE_UNSPECIFIED\020\000\022\026\n\022LINK_PU" +
+      "RPOSE_CHILD\020\001\022\027\n\023LINK_PURPOSE_BRIDGE\020\002\022\026" +
+      "\n\022LINK_PURPOSE_PROBE\020\003\022\026\n\022LINK_PURPOSE_C" +
+      "ALLS\020\004*q\n\013MemberState\022\034\n\030MEMBER_STATE_UN" +
+      "SPECIFIED\020\000\022\023\n\017MEMBER_STATE_UP\020\001\022\030\n\024MEMB" +
+      "ER_STATE_LEAVING\020\002\022\025\n\021MEMBER_STATE_DOWN\020" +
+      "\003*y\n\014KeyOperation\022\035\n\031KEY_OPERATION_UNSPE" +
+      "CIFIED\020\000\022\027\n\023KEY_OPERATION_CLAIM\020\001\022\031\n\025KEY" +
+      "_OPERATION_RELEASE\020\002\022\026\n\022KEY_OPERATION_DO" +
+      "NE\020\003*z\n\013CallOutcome\022\034\n\030CALL_OUTCOME_UNSP" +
+      "ECIFIED\020\000\022\031\n\025CALL_OUTCOME_ANSWERED\020\001\022\030\n\024" +
+      "CALL_OUTCOME_NOT_RUN\020\002\022\030\n\024CALL_OUTCOME_U" +
+      "NKNOWN\020\003*\362\002\n\014NotRunReason\022\036\n\032NOT_RUN_REA" +
+      "SON_UNSPECIFIED\020\000\022\035\n\031NOT_RUN_REASON_OVER" +
+      "LOADED\020\001\022\032\n\026NOT_RUN_REASON_LEAVING\020\002\022\032\n\026" +
+      "NOT_RUN_REASON_EXPIRED\020\003\022\037\n\033NOT_RUN_REAS" +
+      "ON_WRONG_TARGET\020\004\022\036\n\032NOT_RUN_REASON_UNRE" +
+      "ACHABLE\020\005\022\034\n\030NOT_RUN_REASON_CANCELLED\020\006\022" +
+      "\037\n\033NOT_RUN_REASON_KEY_CONFLICT\020\007\022\"\n\036NOT_" +
+      "RUN_REASON_DATA_CENTRE_OUT\020\010\022%\n!NOT_RUN_" +
+      "REASON_REFUSED_BY_BACKEND\020\t\022 \n\034NOT_RUN_R" +
+      "EASON_KEY_UNSETTLED\020\nB\027\n\023org.oriolewind." +
+      "wireP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -207,7 +214,7 @@
     internal_static_oriolewind_Frame_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_oriolewind_Frame_descriptor,
-        new java.lang.String[] { "ConfigVersion", "HybridTime", "Hello", "Welcome", "Redirect", "Heartbeat", "ConfigUpdate", "ConfigPull", "MemberUpdate", "EvidenceReport", "CallRequest", "CallAnswer", "CallCancel", "Body", });
+        new java.lang.String[] { "ConfigVersion", "HybridTime", "Hello", "Welcome", "Redirect", "Heartbeat", "ConfigUpdate", "ConfigPull", "MemberUpdate", "EvidenceReport", "CallRequest", "CallAnswer", "CallCancel", "CallGoAway", "Body", });
     internal_static_oriolewind_Member_descriptor =
       getDescriptor().getMessageType(1);
     internal_static_oriolewind_Member_fieldAccessorTable = new
@@ -298,6 +305,12 @@
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_oriolewind_CallCancel_descriptor,
         new java.lang.String[] { "Stream", });
+    internal_static_oriolewind_CallGoAway_descriptor =
+      getDescriptor().getMessageType(15);
+    internal_static_oriolewind_CallGoAway_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_oriolewind_CallGoAway_descriptor,
+        new java.lang.String[] { "LastStream", });
     descriptor.resolveAllFeaturesImmutable();
   }
 
