Keep frames in the order they are sent

Cause: under the load of a cold start 5% of the calls ended unknown after one to two seconds (RequestBench, warm-up). The events of such calls showed the gate cancelling them 90 ms after they were sent: the connection had been closed by the receiver, since stream ids did not grow. A write by the connection's own thread (a call sent again) overtook one that waited for it. Ruled out: deadlines (five seconds), the backend server (it had not begun).

Change: every frame is written by a task of the connection's thread, in the order of the calls.

Figures: PeerConnectionTest receives 2 before 1 without the change, and all in order with it.

Rejecting streams out of order stays, as it protects against answers that meet another call.

--- a/oriolewind-node/src/main/java/org/oriolewind/node/call/PeerCallServer.java
+++ b/oriolewind-node/src/main/java/org/oriolewind/node/call/PeerCallServer.java
@@ -91,7 +91,6 @@
         return mPeers.isEmpty();
     }
 
-
     /** A call that can be cancelled before the gate has returned. */
     private static final class OpenCall implements Cancellable {
         private Cancellable mCall;
--- a/oriolewind-node/src/main/java/org/oriolewind/node/call/RequestPath.java
+++ b/oriolewind-node/src/main/java/org/oriolewind/node/call/RequestPath.java
@@ -77,7 +77,9 @@
                         evidence,
                         new LocalStops(services.events()),
                         (key, done) -> sendKeyRequest(services, control, key, done));
-        mCallerHandler = new CallerHandler(dispatcher, services.clock(), control::isReady, () -> mLeaving, limits);
+        mCallerHandler =
+                new CallerHandler(
+                        dispatcher, services.clock(), control::isReady, () -> mLeaving, limits);
         registerGauges(services.registry());
     }
 
--- a/oriolewind-node/src/main/java/org/oriolewind/node/peer/PeerConnection.java
+++ b/oriolewind-node/src/main/java/org/oriolewind/node/peer/PeerConnection.java
@@ -1,8 +1,8 @@
 package org.oriolewind.node.peer;
 
+import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFutureListener;
-import java.util.function.Consumer;
 import org.oriolewind.wire.Frame;
 import org.oriolewind.wire.LinkPurpose;
 
@@ -49,29 +49,22 @@
     }
 
     /**
-     * Sends a frame.
+     * Sends a frame. Frames leave in the order of the calls, whichever threads make them: a write
+     * by the connection's own thread must not overtake one that waits for it.
      *
      * @param frame the frame
      */
     public void send(Frame frame) {
-        mChannel.writeAndFlush(frame, mChannel.voidPromise());
-    }
-
-    /**
-     * Sends a frame and tells whether it left this process.
-     *
-     * @param frame the frame
-     * @param done called with false if no part of the frame can have been sent
-     */
-    public void send(Frame frame, Consumer<Boolean> done) {
-        mChannel.writeAndFlush(frame)
-                .addListener((ChannelFutureListener) future -> done.accept(future.isSuccess()));
+        mChannel.eventLoop().execute(() -> mChannel.writeAndFlush(frame, mChannel.voidPromise()));
     }
 
     /** Closes the connection after what was sent before. */
     public void close() {
-        mChannel.writeAndFlush(io.netty.buffer.Unpooled.EMPTY_BUFFER)
-                .addListener(ChannelFutureListener.CLOSE);
+        mChannel.eventLoop()
+                .execute(
+                        () ->
+                                mChannel.writeAndFlush(Unpooled.EMPTY_BUFFER)
+                                        .addListener(ChannelFutureListener.CLOSE));
     }
 
     /** Closes the connection at once. */
--- /dev/null
+++ b/oriolewind-node/src/test/java/org/oriolewind/node/peer/PeerConnectionTest.java
@@ -0,0 +1,106 @@
+package org.oriolewind.node.peer;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import com.codahale.metrics.MetricRegistry;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.oriolewind.wire.CallRequest;
+import org.oriolewind.wire.Frame;
+import org.oriolewind.wire.Hello;
+import org.oriolewind.wire.LinkPurpose;
+import org.oriolewind.wire.Member;
+
+class PeerConnectionTest {
+    private static final int FRAMES = 100;
+
+    /** Takes what the other side sends. */
+    private static final class Receiver implements PeerListener {
+        final List<Long> mStreams = new CopyOnWriteArrayList<>();
+        final CompletableFuture<Void> mAll = new CompletableFuture<>();
+
+        @Override
+        public void onHello(PeerConnection connection, Frame frame) {
+            // The frames that follow are of interest.
+        }
+
+        @Override
+        public void onFrame(PeerConnection connection, Frame frame) {
+            mStreams.add(frame.getCallRequest().getStream());
+            if (mStreams.size() == FRAMES) {
+                mAll.complete(null);
+            }
+        }
+
+        @Override
+        public void onClosed(PeerConnection connection) {
+            mAll.completeExceptionally(new AssertionError("connection closed"));
+        }
+    }
+
+    private static Frame request(long stream) {
+        return Frame.newBuilder()
+                .setCallRequest(CallRequest.newBuilder().setStream(stream))
+                .build();
+    }
+
+    private static Frame hello() {
+        return Frame.newBuilder()
+                .setHello(
+                        Hello.newBuilder()
+                                .setPurpose(LinkPurpose.LINK_PURPOSE_CALLS)
+                                .setSelf(Member.newBuilder().setNode("n1")))
+                .build();
+    }
+
+    /** Frames of other threads and of the connection's own thread leave in the order sent. */
+    @Test
+    void ownThreadDoesNotOvertakeOthers() throws Exception {
+        EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+        try {
+            PeerTransport transport =
+                    new PeerTransport(group, new PeerMeters(new MetricRegistry()));
+            InetSocketAddress address = freeAddress();
+            Receiver receiver = new Receiver();
+            transport.listen(address, receiver);
+            transport.connect(address, new Receiver(), PeerConnectionTest::sendFromBoth, () -> {});
+            receiver.mAll.get(20, TimeUnit.SECONDS);
+            for (int i = 0; i < FRAMES; i++) {
+                assertEquals(i + 1, receiver.mStreams.get(i));
+            }
+        } finally {
+            group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+        }
+    }
+
+    private static InetSocketAddress freeAddress() throws Exception {
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return new InetSocketAddress("127.0.0.1", socket.getLocalPort());
+        }
+    }
+
+    /** Runs on the connection's thread, and sends every other frame from another one. */
+    private static void sendFromBoth(PeerConnection connection) {
+        connection.send(hello());
+        for (int i = 1; i <= FRAMES; i += 2) {
+            long stream = i;
+            Thread other = new Thread(() -> connection.send(request(stream)));
+            other.start();
+            try {
+                other.join();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+            connection.send(request(stream + 1));
+        }
+    }
+}
