--- a/oriolewind-bench/src/main/java/org/oriolewind/bench/SimulatedMove.java
+++ b/oriolewind-bench/src/main/java/org/oriolewind/bench/SimulatedMove.java
@@ -88,9 +88,6 @@
             }
             late |= move().lateReason().isPresent();
             if (move().phase() == MovePhase.TAKEN_BACK) {
-                if (!mKind.isBad() && Boolean.getBoolean("explain")) {
-                    System.out.println(second() + " " + move());
-                }
                 return outcome(doneSecond, late, true);
             }
             if (move().phase() == MovePhase.DONE && doneSecond.isEmpty()) {
--- a/oriolewind-core/src/main/java/org/oriolewind/admission/GateSettings.java
+++ b/oriolewind-core/src/main/java/org/oriolewind/admission/GateSettings.java
@@ -25,6 +25,6 @@
      * @return the settings
      */
     public static GateSettings defaults() {
-        return new GateSettings(LimitRule.ADDITIVE, 2, 1, 64, 16, Duration.ofMillis(500));
+        return new GateSettings(LimitRule.ADDITIVE, 2, 1, 64, 32, Duration.ofMillis(500));
     }
 }
--- a/oriolewind-core/src/main/java/org/oriolewind/control/BridgeKeeper.java
+++ b/oriolewind-core/src/main/java/org/oriolewind/control/BridgeKeeper.java
@@ -142,13 +142,7 @@
             return;
         }
         bridge.mLink = link;
-        Hello hello =
-                Hello.newBuilder()
-                        .setPurpose(LinkPurpose.LINK_PURPOSE_BRIDGE)
-                        .setSelf(mContext.self())
-                        .setMembersDigest(mContext.mMembers.digest())
-                        .build();
-        mContext.mPort.send(link, mContext.frame().setHello(hello).build());
+        mContext.mPort.send(link, mContext.hello(LinkPurpose.LINK_PURPOSE_BRIDGE));
     }
 
     boolean onWelcome(long link, Welcome welcome, long configVersion) {
--- a/oriolewind-core/src/main/java/org/oriolewind/control/ControlContext.java
+++ b/oriolewind-core/src/main/java/org/oriolewind/control/ControlContext.java
@@ -10,6 +10,8 @@
 import org.oriolewind.time.HybridClock;
 import org.oriolewind.time.NodeClock;
 import org.oriolewind.wire.Frame;
+import org.oriolewind.wire.Hello;
+import org.oriolewind.wire.LinkPurpose;
 import org.oriolewind.wire.Member;
 
 /**
@@ -81,6 +83,17 @@
                 .setHybridTime(mHybrid.next());
     }
 
+    /** Makes the first frame of a link that this node opens. */
+    Frame hello(LinkPurpose purpose) {
+        Hello hello =
+                Hello.newBuilder()
+                        .setPurpose(purpose)
+                        .setSelf(mSelf)
+                        .setMembersDigest(mMembers.digest())
+                        .build();
+        return frame().setHello(hello).build();
+    }
+
     void record(EventKind kind, String peer, long value, String detail) {
         mEvents.record(Event.of(kind, peer, value, detail));
     }
--- a/oriolewind-core/src/main/java/org/oriolewind/control/MemberProber.java
+++ b/oriolewind-core/src/main/java/org/oriolewind/control/MemberProber.java
@@ -5,7 +5,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import org.oriolewind.wire.Hello;
 import org.oriolewind.wire.LinkPurpose;
 import org.oriolewind.wire.Member;
 import org.oriolewind.wire.MemberState;
@@ -78,12 +77,7 @@
             return;
         }
         probe.mLink = link;
-        Hello hello =
-                Hello.newBuilder()
-                        .setPurpose(LinkPurpose.LINK_PURPOSE_PROBE)
-                        .setSelf(mContext.self())
-                        .build();
-        mContext.mPort.send(link, mContext.frame().setHello(hello).build());
+        mContext.mPort.send(link, mContext.hello(LinkPurpose.LINK_PURPOSE_PROBE));
     }
 
     private void onFailed(Probe probe) {
--- a/oriolewind-core/src/main/java/org/oriolewind/control/TreeKeeper.java
+++ b/oriolewind-core/src/main/java/org/oriolewind/control/TreeKeeper.java
@@ -1,6 +1,5 @@
 package org.oriolewind.control;
 
-import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
@@ -22,9 +21,7 @@
  * set number of children. Belongs to the control thread.
  */
 final class TreeKeeper {
-    private static final int MAX_DIALS_PER_SEARCH = 12;
     private static final int MAX_REDIRECT_ADDRESSES = 3;
-    private static final int RANDOM_CANDIDATES = 2;
     private static final long HANDSHAKE_TIMEOUT_MILLIS = 1000;
     private static final long SEARCH_PAUSE_MILLIS = 1000;
     private static final long LASTING_ROOT_MILLIS = 5000;
@@ -34,7 +31,7 @@
     private final MemberSpread mMemberSpread;
     private final DialTable mDials;
 
-    private final ArrayDeque<String> mCandidates = new ArrayDeque<>();
+    private final ParentCandidates mCandidates;
     private Optional<ControlLink> mParent = Optional.empty();
     private List<String> mPath = List.of();
     private String mLeadAddress = "";
@@ -48,12 +45,12 @@
     private long mHandshakeLink = -1;
     private long mDialDeadlineMillis;
     private long mNextSearchMillis;
-    private int mDialsLeft;
 
     TreeKeeper(ControlContext context, MemberSpread memberSpread, DialTable dials) {
         mContext = context;
         mMemberSpread = memberSpread;
         mDials = dials;
+        mCandidates = new ParentCandidates(context);
     }
 
     boolean isRoot() {
@@ -150,68 +147,19 @@
     }
 
     private void dialNext() {
-        if (mCandidates.isEmpty() && mDialsLeft == 0) {
-            fillCandidates();
-        }
-        String address = mDialsLeft > 0 ? mCandidates.poll() : null;
-        if (address == null) {
+        boolean leadLost = mLeadTerm <= mLostLeadTerm;
+        Optional<String> address = mCandidates.next(mLeadAddress, leadLost, mStandby);
+        if (address.isEmpty()) {
             endSearch();
             return;
         }
-        mDialsLeft--;
         mDialing = true;
         mDialDeadlineMillis = mContext.nowMillis() + HANDSHAKE_TIMEOUT_MILLIS;
-        mDials.dial(address, this::onDialed, this::onDialFailed);
-    }
-
-    private void fillCandidates() {
-        mDialsLeft = MAX_DIALS_PER_SEARCH;
-        boolean lost = mLeadTerm <= mLostLeadTerm;
-        if (!lost) {
-            addCandidate(mLeadAddress);
-        }
-        mContext.mMembers.find(mStandby).ifPresent(m -> addCandidate(m.getPeerAddress()));
-        List<String> lower = lowerPeers();
-        if (!lower.isEmpty()) {
-            addCandidate(lower.get(0));
-            List<String> shuffled = new ArrayList<>(lower);
-            Collections.shuffle(shuffled, new java.util.Random(mContext.mRandom.nextLong()));
-            shuffled.stream().limit(RANDOM_CANDIDATES).forEach(this::addCandidate);
-        }
-        mContext.mSettings.seeds().forEach(this::addCandidate);
-        if (lost) {
-            addCandidate(mLeadAddress);
-        }
-    }
-
-    /** Returns live nodes of this data centre whose names come before this node's. */
-    private List<String> lowerPeers() {
-        List<String> lower = new ArrayList<>();
-        for (Member member : mContext.mMembers.all()) {
-            if (member.getNode().equals(mContext.node())) {
-                break;
-            }
-            if (member.getDataCentre().equals(mContext.dataCentre())
-                    && member.getState() != MemberState.MEMBER_STATE_DOWN) {
-                lower.add(member.getPeerAddress());
-            }
-        }
-        return lower;
-    }
-
-    private void addCandidate(String address) {
-        boolean usable =
-                !address.isEmpty()
-                        && !address.equals(mContext.self().getPeerAddress())
-                        && !mCandidates.contains(address);
-        if (usable) {
-            mCandidates.add(address);
-        }
+        mDials.dial(address.get(), this::onDialed, this::onDialFailed);
     }
 
     private void endSearch() {
         mCandidates.clear();
-        mDialsLeft = 0;
         mNextSearchMillis =
                 mContext.nowMillis()
                         + SEARCH_PAUSE_MILLIS
@@ -227,13 +175,7 @@
             return;
         }
         mHandshakeLink = link;
-        Hello hello =
-                Hello.newBuilder()
-                        .setPurpose(LinkPurpose.LINK_PURPOSE_CHILD)
-                        .setSelf(mContext.self())
-                        .setMembersDigest(mContext.mMembers.digest())
-                        .build();
-        mContext.mPort.send(link, mContext.frame().setHello(hello).build());
+        mContext.mPort.send(link, mContext.hello(LinkPurpose.LINK_PURPOSE_CHILD));
     }
 
     private void onDialFailed() {
@@ -263,7 +205,6 @@
         mContext.mLinks.add(parent);
         mParent = Optional.of(parent);
         mCandidates.clear();
-        mDialsLeft = 0;
         setPath(extended(welcome.getPathList()), "parent " + welcome.getNode());
         return true;
     }
@@ -281,9 +222,7 @@
         abandonDial();
         List<String> addresses = new ArrayList<>(redirect.getPeerAddressesList());
         Collections.reverse(addresses);
-        addresses.stream()
-                .filter(a -> !a.equals(mContext.self().getPeerAddress()))
-                .forEach(mCandidates::addFirst);
+        addresses.forEach(mCandidates::addFirst);
         return true;
     }
 
@@ -413,7 +352,6 @@
         mParent = Optional.empty();
         mDialing = false;
         mCandidates.clear();
-        mDialsLeft = 0;
         mNextSearchMillis = mContext.nowMillis() + mContext.jitterMillis(SEARCH_PAUSE_MILLIS);
         if (isStandby()) {
             setPath(List.of(mContext.node()), "standby takes over the tree: " + reason);
--- a/oriolewind-core/src/main/java/org/oriolewind/control/VersionHints.java
+++ b/oriolewind-core/src/main/java/org/oriolewind/control/VersionHints.java
@@ -1,7 +1,6 @@
 package org.oriolewind.control;
 
 import org.oriolewind.wire.ConfigPull;
-import org.oriolewind.wire.Hello;
 import org.oriolewind.wire.LinkPurpose;
 import org.oriolewind.wire.Member;
 import org.oriolewind.wire.Welcome;
@@ -57,13 +56,7 @@
             return;
         }
         mLink = link;
-        Hello hello =
-                Hello.newBuilder()
-                        .setPurpose(LinkPurpose.LINK_PURPOSE_BRIDGE)
-                        .setSelf(mContext.self())
-                        .setMembersDigest(mContext.mMembers.digest())
-                        .build();
-        mContext.mPort.send(link, mContext.frame().setHello(hello).build());
+        mContext.mPort.send(link, mContext.hello(LinkPurpose.LINK_PURPOSE_BRIDGE));
     }
 
     boolean onWelcome(long link, Welcome welcome) {
--- a/oriolewind-node/src/main/java/org/oriolewind/node/SettingName.java
+++ b/oriolewind-node/src/main/java/org/oriolewind/node/SettingName.java
@@ -45,7 +45,7 @@
     /** Largest limit. */
     GATE_MAX_LIMIT("NUMBER", "64", "largest concurrency limit"),
     /** Queue length. */
-    GATE_QUEUE_LENGTH("NUMBER", "16", "most calls that wait at the gate"),
+    GATE_QUEUE_LENGTH("NUMBER", "32", "most calls that wait at the gate"),
     /** Queue wait. */
     GATE_QUEUE_WAIT_MILLIS("NUMBER", "500", "longest wait at the gate"),
     /** Call timeout. */
