Find free ports in one place, below the system's own range

Cause: tests took ports from the range of outgoing connections, so that a connection could take one before the test listened on it (seen once in the quickstart).

--- a/oriolewind-node/src/test/java/org/oriolewind/node/peer/PeerConnectionTest.java
+++ b/oriolewind-node/src/test/java/org/oriolewind/node/peer/PeerConnectionTest.java
@@ -6,9 +6,7 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
@@ -22,6 +20,8 @@
 
 class PeerConnectionTest {
     private static final int FRAMES = 100;
+    private static final int FIRST_PORT = 31_100;
+    private static final int LAST_PORT = 32_000;
 
     /** Takes what the other side sends. */
     private static final class Receiver implements PeerListener {
@@ -69,9 +69,8 @@
         try {
             PeerTransport transport =
                     new PeerTransport(group, new PeerMeters(new MetricRegistry()));
-            InetSocketAddress address = freeAddress();
             Receiver receiver = new Receiver();
-            transport.listen(address, receiver);
+            InetSocketAddress address = listen(transport, receiver);
             transport.connect(address, new Receiver(), PeerConnectionTest::sendFromBoth, () -> {});
             receiver.mAll.get(20, TimeUnit.SECONDS);
             for (int i = 0; i < FRAMES; i++) {
@@ -82,10 +81,18 @@
         }
     }
 
-    private static InetSocketAddress freeAddress() throws Exception {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            return new InetSocketAddress("127.0.0.1", socket.getLocalPort());
+    /** Listens on the first free port of a range from which the system takes none itself. */
+    private static InetSocketAddress listen(PeerTransport transport, PeerListener listener) {
+        for (int port = FIRST_PORT; port < LAST_PORT; port++) {
+            InetSocketAddress address = new InetSocketAddress("127.0.0.1", port);
+            try {
+                transport.listen(address, listener);
+                return address;
+            } catch (PeerException e) {
+                continue;
+            }
         }
+        throw new AssertionError("no free port");
     }
 
     /** Runs on the connection's thread, and sends every other frame from another one. */
--- /dev/null
+++ b/oriolewind-standins/src/main/java/org/oriolewind/standins/FreePorts.java
@@ -0,0 +1,45 @@
+package org.oriolewind.standins;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.util.HashSet;
+import java.util.Set;
+import java.util.concurrent.ThreadLocalRandom;
+
+/**
+ * Finds ports that are free on loopback, each handed out once. They lie below the range from which
+ * the system takes the ports of outgoing connections, so that none of these takes one meanwhile.
+ * Safe for use by several threads.
+ */
+public final class FreePorts {
+    private static final int FIRST_PORT = 11_000;
+    private static final int LAST_PORT = 31_000;
+    private static final int MAX_TRIES = 1000;
+
+    private final Set<Integer> mTaken = new HashSet<>();
+
+    /**
+     * Finds a port.
+     *
+     * @return the port
+     * @throws IOException if none is free
+     */
+    public synchronized int next() throws IOException {
+        for (int i = 0; i < MAX_TRIES; i++) {
+            int port = ThreadLocalRandom.current().nextInt(FIRST_PORT, LAST_PORT);
+            if (isFree(port) && mTaken.add(port)) {
+                return port;
+            }
+        }
+        throw new IOException("no free port from " + FIRST_PORT + " to " + LAST_PORT);
+    }
+
+    private static boolean isFree(int port) {
+        try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
+            return socket.isBound();
+        } catch (IOException e) {
+            return false;
+        }
+    }
+}
--- a/oriolewind-standins/src/main/java/org/oriolewind/standins/quickstart/MeshProcesses.java
+++ b/oriolewind-standins/src/main/java/org/oriolewind/standins/quickstart/MeshProcesses.java
@@ -2,17 +2,13 @@
 
 import java.io.File;
 import java.io.IOException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.file.Path;
 import java.util.ArrayList;
-import java.util.HashSet;
 import java.util.List;
-import java.util.Set;
-import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import org.oriolewind.config.JsonFormat;
+import org.oriolewind.standins.FreePorts;
 import org.oriolewind.standins.backend.BackendStandIn;
 import org.oriolewind.standins.backend.Behaviour;
 import org.oriolewind.standins.platform.PlatformStandIn;
@@ -22,11 +18,6 @@
  * by {@link #close()}. Not safe for use by several threads.
  */
 public final class MeshProcesses implements AutoCloseable {
-    private static final int PORTS_PER_NODE = 4;
-    // Below the range from which the system takes the ports of outgoing connections.
-    private static final int FIRST_PORT = 11_000;
-    private static final int LAST_PORT = 31_000;
-    private static final int MAX_PORT_TRIES = 1000;
     private static final long START_TIMEOUT_MILLIS = 30_000;
     private static final String LOOPBACK = "127.0.0.1";
 
@@ -34,7 +25,7 @@
     private final Path mWorkDir;
     private final List<Process> mProcesses = new ArrayList<>();
     private final List<NodeProcess> mNodes = new ArrayList<>();
-    private final Set<Integer> mTakenPorts = new HashSet<>();
+    private final FreePorts mPorts = new FreePorts();
     private final int mPlatformPort;
 
     /**
@@ -98,30 +89,7 @@
     public MeshProcesses(Path home, Path workDir) throws IOException {
         mHome = home;
         mWorkDir = workDir;
-        mPlatformPort = freePorts(1).get(0);
-    }
-
-    private List<Integer> freePorts(int count) throws IOException {
-        List<Integer> ports = new ArrayList<>();
-        for (int i = 0; i < MAX_PORT_TRIES && ports.size() < count; i++) {
-            int port = ThreadLocalRandom.current().nextInt(FIRST_PORT, LAST_PORT);
-            if (!mTakenPorts.contains(port) && isFree(port)) {
-                mTakenPorts.add(port);
-                ports.add(port);
-            }
-        }
-        if (ports.size() < count) {
-            throw new IOException("no free ports from " + FIRST_PORT + " to " + LAST_PORT);
-        }
-        return ports;
-    }
-
-    private static boolean isFree(int port) {
-        try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
-            return socket.isBound();
-        } catch (IOException e) {
-            return false;
-        }
+        mPlatformPort = mPorts.next();
     }
 
     /**
@@ -137,7 +105,6 @@
     public void addNode(
             String name, String dataCentre, String service, String version, Behaviour behaviour)
             throws IOException {
-        List<Integer> ports = freePorts(PORTS_PER_NODE);
         mNodes.add(
                 new NodeProcess(
                         name,
@@ -145,10 +112,10 @@
                         service,
                         version,
                         behaviour,
-                        ports.get(0),
-                        ports.get(1),
-                        ports.get(2),
-                        ports.get(3)));
+                        mPorts.next(),
+                        mPorts.next(),
+                        mPorts.next(),
+                        mPorts.next()));
     }
 
     /**
--- a/oriolewind-standins/src/test/java/org/oriolewind/standins/LocalMesh.java
+++ b/oriolewind-standins/src/test/java/org/oriolewind/standins/LocalMesh.java
@@ -1,7 +1,5 @@
 package org.oriolewind.standins;
 
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -45,7 +43,8 @@
 
     final List<Running> mNodes = new ArrayList<>();
     final HttpClient mClient = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
-    private final int mPlatformPort = freePort();
+    private final FreePorts mPorts = new FreePorts();
+    private final int mPlatformPort = mPorts.next();
     private final Server mPlatform = PlatformStandIn.start(mPlatformPort);
     private final ScheduledExecutorService mTimer = BackendStandIn.newTimer();
     private final org.eclipse.jetty.client.HttpClient mStoreClient =
@@ -64,19 +63,13 @@
     record Running(
             Node node, Server backend, BackendHandler handler, int caller, int peer, int admin) {}
 
-    static int freePort() throws Exception {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            return socket.getLocalPort();
-        }
-    }
-
     Running start(String name, Behaviour behaviour) throws Exception {
         BackendHandler handler = new BackendHandler(behaviour, mTimer);
-        int backendPort = freePort();
+        int backendPort = mPorts.next();
         Server backend = BackendStandIn.start(backendPort, handler);
-        int caller = freePort();
-        int peer = freePort();
-        int admin = freePort();
+        int caller = mPorts.next();
+        int peer = mPorts.next();
+        int admin = mPorts.next();
         List<String> flags = new ArrayList<>();
         add(flags, SettingName.NODE, name);
         add(flags, SettingName.DATA_CENTRE, "ikeja");
