--- a/oriolewind-bench/src/main/java/org/oriolewind/bench/GateBench.java
+++ b/oriolewind-bench/src/main/java/org/oriolewind/bench/GateBench.java
@@ -29,7 +29,9 @@
     private static final long SEED = 20261204;
 
     private final ManualClock mClock = new ManualClock();
-    private final Random mRandom = new Random(SEED);
+    // The arrivals of a run depend on nothing but the seed, so that all rules meet the same load.
+    private final Random mArrivals = new Random(SEED);
+    private final Random mServiceTimes = new Random(SEED + 1);
     private final PriorityQueue<Step> mSteps = new PriorityQueue<>();
     private final ArrayDeque<Call> mBackendQueue = new ArrayDeque<>();
     private final Histogram mMicros = new Histogram(60_000_000L, 3);
@@ -123,7 +125,7 @@
     }
 
     private void arrive(double perSecond) {
-        double gapMillis = -Math.log(1 - mRandom.nextDouble()) * 1000 / perSecond;
+        double gapMillis = -Math.log(1 - mArrivals.nextDouble()) * 1000 / perSecond;
         after(
                 gapMillis,
                 () -> {
@@ -190,7 +192,7 @@
 
     private void begin(Call call) {
         mRunning++;
-        double millis = SERVICE_MILLIS * (0.8 + 0.4 * mRandom.nextDouble());
+        double millis = SERVICE_MILLIS * (0.8 + 0.4 * mServiceTimes.nextDouble());
         after(isCold() ? millis * COLD_FACTOR : millis, () -> end(call));
     }
 
--- a/oriolewind-core/src/main/java/org/oriolewind/admission/Gate.java
+++ b/oriolewind-core/src/main/java/org/oriolewind/admission/Gate.java
@@ -212,6 +212,14 @@
     /** Takes calls again, as for a backend server that was just started. */
     public synchronized void reopen() {
         mClosed = false;
+        restart();
+    }
+
+    /**
+     * Begins with a small limit again, since the backend server had no load for a while and may be
+     * cold. A closed gate stays closed.
+     */
+    public synchronized void restart() {
         mLimit = mSettings.initialLimit();
         mOpening = true;
         mSteadyAnswers = 0;
--- a/oriolewind-core/src/test/java/org/oriolewind/admission/GateTest.java
+++ b/oriolewind-core/src/test/java/org/oriolewind/admission/GateTest.java
@@ -119,6 +119,25 @@
         assertTrue(gate.load().limit() <= grown / 2, "came down to " + gate.load().limit());
     }
 
+    @Test
+    void restartBeginsSmallAgainAndLeavesAClosedGateClosed() {
+        Gate gate = gate(LimitRule.ADDITIVE, 2, 4);
+        for (int i = 0; i < 200; i++) {
+            mClock.advanceMillis(10);
+            enter(gate, 1000);
+            gate.leave("r", gate.load().limit(), 5000, false);
+        }
+        assertTrue(gate.load().limit() > 2);
+        gate.restart();
+        assertEquals(2, gate.load().limit());
+        assertTrue(gate.load().opening());
+        gate.close();
+        gate.restart();
+        assertEquals(1, enter(gate, 1000).mRefusals.size());
+        gate.reopen();
+        assertEquals(1, enter(gate, 1000).mAdmitted);
+    }
+
     @Test
     void cancelledCallLeavesTheQueue() {
         Gate gate = gate(LimitRule.FIXED, 1, 4);
--- a/oriolewind-node/src/main/java/org/oriolewind/node/Node.java
+++ b/oriolewind-node/src/main/java/org/oriolewind/node/Node.java
@@ -10,6 +10,7 @@
 import java.io.FileOutputStream;
 import java.io.IOException;
 import java.io.OutputStream;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.BooleanSupplier;
 import org.eclipse.jetty.client.HttpClient;
@@ -231,9 +232,9 @@
 
     private void onBackendChange(boolean available) {
         mBackendAvailable = available;
-        if (available) {
+        if (available && !mDraining.get()) {
             mRequestPath.gate().reopen();
-        } else {
+        } else if (!available) {
             mRequestPath.gate().close();
             mEvents.record(
                     Event.of(EventKind.DRAIN_STARTED, null, 0, "backend server takes no work"));
@@ -284,7 +285,7 @@
         stopQuietly("admin server", mAdminServer::stop);
         mControl.close();
         stopQuietly("http client", mHttpClient::stop);
-        mPeerThreads.shutdownGracefully(0, 1, java.util.concurrent.TimeUnit.SECONDS);
+        mPeerThreads.shutdownGracefully(0, 1, TimeUnit.SECONDS);
         mEvents.close();
     }
 
--- a/oriolewind-node/src/main/java/org/oriolewind/node/call/RequestPath.java
+++ b/oriolewind-node/src/main/java/org/oriolewind/node/call/RequestPath.java
@@ -30,7 +30,9 @@
     private final PeerCalls mPeers;
     private final PeerCallServer mPeerServer;
     private final CallerHandler mCallerHandler;
+    private final NodeServices mServices;
     private volatile boolean mLeaving;
+    private boolean mOut;
 
     /**
      * Puts the request path together.
@@ -49,6 +51,7 @@
             CallerLimits limits,
             ControlSide control,
             EvidenceCollector evidence) {
+        mServices = services;
         RequestServices request =
                 new RequestServices(
                         services.self(),
@@ -172,7 +175,22 @@
 
     /** Ends calls whose time has run out. To be called several times a second. */
     public void tick() {
+        restartGateOnReturn();
         mGate.tick();
         mPeers.tick();
     }
+
+    /** Lets load return step by step when operators bring the data centre back. */
+    private void restartGateOnReturn() {
+        boolean out =
+                mServices
+                        .config()
+                        .current()
+                        .dataCentresOut()
+                        .contains(mServices.self().getDataCentre());
+        if (mOut && !out) {
+            mGate.restart();
+        }
+        mOut = out;
+    }
 }
