--- a/oriolewind-core/src/main/java/org/oriolewind/config/ConfigSnapshot.java
+++ b/oriolewind-core/src/main/java/org/oriolewind/config/ConfigSnapshot.java
@@ -2,7 +2,6 @@
 
 import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
-import java.security.NoSuchAlgorithmException;
 import java.util.Collections;
 import java.util.HexFormat;
 import java.util.Map;
@@ -63,7 +62,7 @@
     }
 
     private static String computeDigest(long version, SortedMap<String, String> entries) {
-        MessageDigest sha = newSha256();
+        MessageDigest sha = Sha256.newDigest();
         sha.update(Long.toString(version).getBytes(StandardCharsets.US_ASCII));
         for (Map.Entry<String, String> entry : entries.entrySet()) {
             sha.update((byte) 0);
@@ -73,12 +72,4 @@
         }
         return HexFormat.of().formatHex(sha.digest());
     }
-
-    static MessageDigest newSha256() {
-        try {
-            return MessageDigest.getInstance("SHA-256");
-        } catch (NoSuchAlgorithmException e) {
-            throw new IllegalStateException("every Java platform has SHA-256", e);
-        }
-    }
 }
--- a/oriolewind-core/src/main/java/org/oriolewind/config/MeshConfig.java
+++ b/oriolewind-core/src/main/java/org/oriolewind/config/MeshConfig.java
@@ -2,7 +2,6 @@
 
 import java.time.Instant;
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
@@ -187,15 +186,6 @@
         return Optional.ofNullable(mLatestDone.get(service)).filter(m -> m.isGuarded(now));
     }
 
-    /**
-     * Returns all moves in progress.
-     *
-     * @return the moves, one a service at most
-     */
-    public Collection<Move> activeMoves() {
-        return mActiveMoves.values();
-    }
-
     /**
      * Returns all moves whose new versions are under watch, those in progress included.
      *
--- a/oriolewind-core/src/main/java/org/oriolewind/config/NoteEdit.java
+++ b/oriolewind-core/src/main/java/org/oriolewind/config/NoteEdit.java
@@ -55,7 +55,7 @@
     private static String digestOf(ReleaseNote note) {
         try {
             byte[] json = JsonFormat.mapper().writeValueAsBytes(note);
-            return HexFormat.of().formatHex(ConfigSnapshot.newSha256().digest(json));
+            return HexFormat.of().formatHex(Sha256.newDigest().digest(json));
         } catch (JsonProcessingException e) {
             throw new IllegalStateException("a note that was read can be written", e);
         }
--- a/oriolewind-core/src/main/java/org/oriolewind/control/PlatformFeed.java
+++ b/oriolewind-core/src/main/java/org/oriolewind/control/PlatformFeed.java
@@ -64,10 +64,6 @@
                 this::onReply);
     }
 
-    boolean isReachable() {
-        return mReachable;
-    }
-
     private void onReply(PlatformReply<WatchBatch> reply) {
         mCallOpen = false;
         if (!reply.isOk()) {
--- a/oriolewind-core/src/main/java/org/oriolewind/keys/KeyDigest.java
+++ b/oriolewind-core/src/main/java/org/oriolewind/keys/KeyDigest.java
@@ -2,8 +2,8 @@
 
 import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
-import java.security.NoSuchAlgorithmException;
 import java.util.HexFormat;
+import org.oriolewind.config.Sha256;
 
 /** Digests of keys. Stateless. */
 public final class KeyDigest {
@@ -19,14 +19,10 @@
      * @return 32 hexadecimal digits
      */
     public static String of(String route, String key) {
-        try {
-            MessageDigest sha = MessageDigest.getInstance("SHA-256");
-            sha.update(route.getBytes(StandardCharsets.UTF_8));
-            sha.update((byte) 0);
-            byte[] digest = sha.digest(key.getBytes(StandardCharsets.UTF_8));
-            return HexFormat.of().formatHex(digest, 0, DIGEST_BYTES);
-        } catch (NoSuchAlgorithmException e) {
-            throw new IllegalStateException("every Java platform has SHA-256", e);
-        }
+        MessageDigest sha = Sha256.newDigest();
+        sha.update(route.getBytes(StandardCharsets.UTF_8));
+        sha.update((byte) 0);
+        byte[] digest = sha.digest(key.getBytes(StandardCharsets.UTF_8));
+        return HexFormat.of().formatHex(digest, 0, DIGEST_BYTES);
     }
 }
--- a/oriolewind-core/src/main/java/org/oriolewind/keys/KeyDuty.java
+++ b/oriolewind-core/src/main/java/org/oriolewind/keys/KeyDuty.java
@@ -1,5 +1,6 @@
 package org.oriolewind.keys;
 
+import com.google.protobuf.ByteString;
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -199,7 +200,7 @@
     private void store(CallRequest request, Consumer<CallAnswer> done) {
         String key = request.getIdempotencyKey();
         boolean mine = request.getCallId().equals(mNonces.get(key));
-        if (mine && request.getBody().size() <= MAX_ANSWER_BYTES) {
+        if (mine && isStorable(request.getBody())) {
             mAnswers.put(
                     key,
                     CallAnswer.newBuilder()
@@ -233,7 +234,11 @@
      * @return true if so
      */
     public static boolean isStorable(CallAnswer answer) {
-        return answer.getBody().size() <= MAX_ANSWER_BYTES;
+        return isStorable(answer.getBody());
+    }
+
+    private static boolean isStorable(ByteString body) {
+        return body.size() <= MAX_ANSWER_BYTES;
     }
 
     /**
--- a/oriolewind-core/src/main/java/org/oriolewind/keys/KeyJournal.java
+++ b/oriolewind-core/src/main/java/org/oriolewind/keys/KeyJournal.java
@@ -43,10 +43,12 @@
     static Opened open(ObjectStore store, long term, Instant now) throws StepException {
         KeyJournal journal = new KeyJournal(term);
         TreeMap<Long, KeySegment> bySequence = new TreeMap<>();
+        Map<Integer, byte[]> values = new TreeMap<>();
         for (StoredObject stored : store.list(KeySegment.PREFIX).objects()) {
             if (stored.value().isPresent()) {
                 KeySegment segment = KeySegment.decode(stored.value().get());
                 int slot = slot(segment.sequence());
+                values.put(slot, stored.value().get());
                 journal.mVersions.put(slot, stored.version());
                 journal.mWrittenAt.put(slot, segment.writtenAt());
                 bySequence.put(segment.sequence(), segment);
@@ -57,7 +59,7 @@
         long sequence = bySequence.isEmpty() ? 0 : bySequence.lastKey();
         List<KeyEntry> entries =
                 bySequence.isEmpty() ? List.of() : bySequence.get(sequence).entries();
-        journal.writeFence(store, sequence + 1, now);
+        journal.writeFence(store, sequence + 1, values);
         journal.write(store, new KeySegment(sequence, term, now, entries));
         return new Opened(journal, nonces);
     }
@@ -84,27 +86,16 @@
      * Rewrites the slot after the current one without changing what it holds, so that an earlier
      * holder that is about to go on to it fails.
      */
-    private void writeFence(ObjectStore store, long sequence, Instant now) throws StepException {
+    private void writeFence(ObjectStore store, long sequence, Map<Integer, byte[]> values)
+            throws PlatformException {
         int slot = slot(sequence);
-        Long version = mVersions.get(slot);
-        if (version == null) {
-            KeySegment empty = new KeySegment(sequence - SEGMENTS, mTerm, Instant.EPOCH, List.of());
+        byte[] value = values.get(slot);
+        if (value == null) {
             mWrittenAt.put(slot, Instant.EPOCH);
-            mVersions.put(slot, store.put(objectKey(slot), empty.encode(), ObjectStore.ABSENT));
-            return;
+            value = new KeySegment(sequence - SEGMENTS, mTerm, Instant.EPOCH, List.of()).encode();
         }
-        StoredObject stored = store.get(objectKey(slot)).orElseThrow(() -> gone(slot));
-        byte[] value = stored.value().orElseThrow(() -> gone(slot));
-        mVersions.put(slot, store.put(objectKey(slot), value, version));
-    }
-
-    private static PlatformException gone(int slot) {
-        return new PlatformException(
-                PlatformException.Kind.CONFLICT,
-                "get " + objectKey(slot),
-                "platform",
-                "segment was deleted",
-                null);
+        long expected = mVersions.getOrDefault(slot, ObjectStore.ABSENT);
+        mVersions.put(slot, store.put(objectKey(slot), value, expected));
     }
 
     private void write(ObjectStore store, KeySegment segment) throws PlatformException {
--- a/oriolewind-core/src/main/java/org/oriolewind/lease/LeaseKeeper.java
+++ b/oriolewind-core/src/main/java/org/oriolewind/lease/LeaseKeeper.java
@@ -45,7 +45,6 @@
 
     private Optional<LeaseRecord> mSeen = Optional.empty();
     private long mSeenVersion = -1;
-    private long mSeenSinceMillis;
     private long mTakeoverAtMillis;
     private long mNextCallAtMillis;
     private long mHeldUntilMillis = Long.MIN_VALUE;
@@ -188,7 +187,6 @@
     private void see(Optional<StoredObject> stored, long version, long now) {
         mSeen = stored.flatMap(LeaseKeeper::decode);
         mSeenVersion = version;
-        mSeenSinceMillis = now;
         mConfirming = false;
         // A write of ours whose answer was lost: renew at once to know whether it still stands.
         mHolding = mSeen.filter(this::isMine).isPresent();
@@ -285,16 +283,4 @@
     private void backOff(long now) {
         mNextCallAtMillis = now + 1 + mRandom.nextLong(mDurationMillis / RENEWALS_PER_DURATION);
     }
-
-    /**
-     * Returns how long the lease has been seen unchanged.
-     *
-     * @return the time, zero if it was never read
-     */
-    public Duration seenUnchanged() {
-        if (mSeenVersion < 0) {
-            return Duration.ZERO;
-        }
-        return Duration.ofMillis(mClock.monotonicMillis() - mSeenSinceMillis);
-    }
 }
--- a/oriolewind-core/src/main/java/org/oriolewind/routing/EndpointChooser.java
+++ b/oriolewind-core/src/main/java/org/oriolewind/routing/EndpointChooser.java
@@ -45,15 +45,6 @@
         return mLoads.computeIfAbsent(node, n -> new PeerLoad());
     }
 
-    /**
-     * Forgets nodes that are gone.
-     *
-     * @param known the nodes to keep
-     */
-    public void retain(Set<String> known) {
-        mLoads.keySet().retainAll(known);
-    }
-
     /**
      * Chooses a node.
      *
