--- /dev/null
+++ b/oriolewind-core/src/main/java/org/oriolewind/backend/BackendCall.java
@@ -0,0 +1,143 @@
+package org.oriolewind.backend;
+
+import com.google.protobuf.ByteString;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Consumer;
+import org.oriolewind.request.BackendPort;
+import org.oriolewind.request.CallAnswers;
+import org.oriolewind.request.Cancellable;
+import org.oriolewind.wire.CallAnswer;
+import org.oriolewind.wire.CallOutcome;
+import org.oriolewind.wire.CallRequest;
+import org.oriolewind.wire.Header;
+import org.oriolewind.wire.NotRunReason;
+
+/**
+ * One call at the gate and at the backend server.
+ *
+ * <p>Invariant: the answer is given once; it says {@code not run} only if the call was not handed
+ * over, could not be sent at all, or was refused by the backend server itself. Not safe for use by
+ * several threads.
+ */
+final class BackendCall implements GatedCall, Cancellable, BackendPort.Listener {
+    private static final long NANOS_PER_MICRO = 1000;
+    private static final int SERVER_ERROR = 500;
+
+    private final BackendService mService;
+    private final CallRequest mRequest;
+    private final Consumer<CallAnswer> mDone;
+    private final long mDeadlineMillis;
+    private final long mAimMillis;
+    private long mHandedOverNanos;
+    private Optional<Cancellable> mSending = Optional.empty();
+    private boolean mCancelled;
+
+    BackendCall(BackendService service, CallRequest request, Consumer<CallAnswer> done) {
+        mService = service;
+        mRequest = request;
+        mDone = done;
+        long now = service.clock().monotonicMillis();
+        mDeadlineMillis = now + request.getTimeoutMillis();
+        mAimMillis = now + request.getAimMillis();
+    }
+
+    @Override
+    public String route() {
+        return mRequest.getRoute();
+    }
+
+    @Override
+    public long deadlineMillis() {
+        return mDeadlineMillis;
+    }
+
+    @Override
+    public long aimMillis() {
+        return mAimMillis;
+    }
+
+    @Override
+    public boolean isNested() {
+        return mRequest.getNested();
+    }
+
+    @Override
+    public void onAdmitted() {
+        mHandedOverNanos = mService.clock().monotonicNanos();
+        long timeLeftMillis = mDeadlineMillis - mService.clock().monotonicMillis();
+        mSending =
+                Optional.of(mService.port().send(mRequest, Math.max(1, timeLeftMillis), this));
+    }
+
+    @Override
+    public void onRefused(NotRunReason reason, long retryAfterMillis) {
+        mDone.accept(mService.notRun(reason, retryAfterMillis));
+    }
+
+    @Override
+    public void cancel() {
+        mCancelled = true;
+        if (!mService.gate().cancel(this)) {
+            mSending.ifPresent(Cancellable::cancel);
+        }
+    }
+
+    private long serviceMicros() {
+        return (mService.clock().monotonicNanos() - mHandedOverNanos) / NANOS_PER_MICRO;
+    }
+
+    @Override
+    public void onAnswer(int status, List<Header> headers, ByteString body) {
+        long micros = serviceMicros();
+        boolean failed = status >= SERVER_ERROR;
+        // A quick failure says nothing about how long the work takes.
+        mService.gate().leave(route(), failed ? Optional.empty() : Optional.of(micros));
+        mService.onEnded(failed);
+        mDone.accept(
+                mService.withLoad(
+                        CallAnswer.newBuilder()
+                                .setOutcome(CallOutcome.CALL_OUTCOME_ANSWERED)
+                                .setStatus(status)
+                                .addAllHeaders(headers)
+                                .setBody(body)
+                                .setServiceMicros(micros)));
+    }
+
+    @Override
+    public void onRefused(boolean draining) {
+        mService.gate().leave(route(), Optional.empty());
+        if (draining) {
+            mService.backend().onMisdirected();
+            mService.refresh();
+            onRefused(NotRunReason.NOT_RUN_REASON_LEAVING, 0);
+        } else {
+            mService.onEnded(true);
+            onRefused(NotRunReason.NOT_RUN_REASON_REFUSED_BY_BACKEND, 0);
+        }
+    }
+
+    @Override
+    public void onFailure(boolean sent, boolean timedOut) {
+        long micros = serviceMicros();
+        boolean slow = timedOut && !mCancelled;
+        mService.gate().leave(route(), slow ? Optional.of(micros) : Optional.empty());
+        if (!mCancelled) {
+            mService.onEnded(true);
+        }
+        if (sent) {
+            mDone.accept(
+                    mService.withLoad(CallAnswers.unknown().toBuilder().setServiceMicros(micros)));
+            return;
+        }
+        if (!timedOut && !mCancelled) {
+            mService.backend().onUnreachable();
+            mService.refresh();
+        }
+        onRefused(
+                timedOut
+                        ? NotRunReason.NOT_RUN_REASON_EXPIRED
+                        : NotRunReason.NOT_RUN_REASON_UNREACHABLE,
+                0);
+    }
+}
--- /dev/null
+++ b/oriolewind-core/src/main/java/org/oriolewind/backend/BackendGate.java
@@ -0,0 +1,272 @@
+package org.oriolewind.backend;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.oriolewind.request.Cancellable;
+import org.oriolewind.time.NodeClock;
+import org.oriolewind.time.Timers;
+import org.oriolewind.wire.NotRunReason;
+
+/**
+ * The gate in front of the backend server beside this node. It knows the backend server's slots, so
+ * calls wait here, where they can be reordered and refused with certainty, and not there.
+ *
+ * <p>Order of waiting calls: those that can still be answered within their aim before those that
+ * can't; nested calls before others, since a backend server is busy with their parents; then the
+ * earliest aim. A call that would miss its aim by waiting is refused at once, so that its sender
+ * can try elsewhere.
+ *
+ * <p>Invariants: calls in flight never exceed the limit; each call that enters is admitted or
+ * refused once. Not safe for use by several threads.
+ */
+public final class BackendGate {
+    /** Share of the mean service time that a call must have left to be worth starting. */
+    private static final double MIN_TIME_LEFT_SHARE = 0.5;
+
+    /** Longest queue, against bursts of callers whose aims are long. */
+    private static final int MAX_WAITING = 200;
+
+    private final NodeClock mClock;
+    private final Timers mTimers;
+    private final ServiceTimes mTimes = new ServiceTimes();
+    private final ColdLimiter mCold = new ColdLimiter();
+    private final List<GatedCall> mWaiting = new ArrayList<>();
+    private int mLimit = 1;
+    private int mInFlight;
+    private long mWorkInFlightMillis;
+    private Optional<Double> mColdPerSecond = Optional.empty();
+    private Optional<NotRunReason> mClosed = Optional.of(NotRunReason.NOT_RUN_REASON_UNREACHABLE);
+    private Optional<Cancellable> mWakeUp = Optional.empty();
+
+    /**
+     * Creates a closed gate.
+     *
+     * @param clock the clock
+     * @param timers wakes the gate up while a cold backend server is spared
+     */
+    public BackendGate(NodeClock clock, Timers timers) {
+        mClock = clock;
+        mTimers = timers;
+    }
+
+    /**
+     * Opens the gate or adjusts it.
+     *
+     * @param limit calls in flight at most
+     * @param coldPerSecond requests a second while the backend server is cold, empty if it is warm
+     */
+    public void open(int limit, Optional<Double> coldPerSecond) {
+        mLimit = Math.max(1, limit);
+        mColdPerSecond = coldPerSecond;
+        mClosed = Optional.empty();
+        admitWaiting();
+    }
+
+    /**
+     * Refuses calls from now on, and those that wait. Calls in flight go on.
+     *
+     * @param reason why
+     */
+    public void close(NotRunReason reason) {
+        mClosed = Optional.of(reason);
+        List<GatedCall> refused = new ArrayList<>(mWaiting);
+        mWaiting.clear();
+        refused.forEach(call -> call.onRefused(reason, 0));
+    }
+
+    /**
+     * Admits a call, lets it wait or refuses it.
+     *
+     * @param call the call
+     */
+    public void enter(GatedCall call) {
+        if (mClosed.isPresent()) {
+            call.onRefused(mClosed.get(), 0);
+            return;
+        }
+        long now = mClock.monotonicMillis();
+        if (!isWorthStarting(call, now)) {
+            call.onRefused(NotRunReason.NOT_RUN_REASON_EXPIRED, 0);
+            return;
+        }
+        if (mWaiting.isEmpty() && mInFlight < mLimit && coldWaitMillis(now) == 0) {
+            admit(call, now);
+            return;
+        }
+        long waitMillis = waitMillis(call, now);
+        if (mWaiting.size() >= MAX_WAITING || !isInTime(call, now + waitMillis)) {
+            call.onRefused(
+                    NotRunReason.NOT_RUN_REASON_OVERLOADED, Math.max(1, excessMillis(call, now)));
+            return;
+        }
+        mWaiting.add(call);
+        admitWaiting();
+    }
+
+    /** Time by which the wait is longer than the call can bear. */
+    private long excessMillis(GatedCall call, long now) {
+        return now + waitMillis(call, now) + mTimes.millis(call.route()) - targetMillis(call, now);
+    }
+
+    /** The aim if the call could meet it without waiting, else its deadline. */
+    private long targetMillis(GatedCall call, long now) {
+        return now + mTimes.millis(call.route()) <= call.aimMillis()
+                ? call.aimMillis()
+                : call.deadlineMillis();
+    }
+
+    private boolean isInTime(GatedCall call, long startMillis) {
+        return startMillis + mTimes.millis(call.route())
+                <= targetMillis(call, mClock.monotonicMillis());
+    }
+
+    private boolean isWorthStarting(GatedCall call, long now) {
+        return now + mTimes.millis(call.route()) * MIN_TIME_LEFT_SHARE < call.deadlineMillis();
+    }
+
+    private long coldWaitMillis(long now) {
+        return mColdPerSecond.map(rate -> mCold.waitMillis(now, rate)).orElse(0L);
+    }
+
+    private long waitMillis(GatedCall call, long now) {
+        // On average half of each call in flight is still to be done.
+        long workMillis = mInFlight < mLimit ? 0 : mWorkInFlightMillis / 2;
+        int ahead = 0;
+        for (GatedCall waiting : mWaiting) {
+            if (isBefore(waiting, call, now)) {
+                workMillis += mTimes.millis(waiting.route());
+                ahead++;
+            }
+        }
+        long bySlots = workMillis / mLimit;
+        int position = ahead;
+        long byColdness =
+                mColdPerSecond
+                        .map(rate -> coldWaitMillis(now) + (long) (position * 1000 / rate))
+                        .orElse(0L);
+        return Math.max(bySlots, byColdness);
+    }
+
+    private boolean isBefore(GatedCall one, GatedCall other, long now) {
+        boolean oneInAim = now + mTimes.millis(one.route()) <= one.aimMillis();
+        boolean otherInAim = now + mTimes.millis(other.route()) <= other.aimMillis();
+        if (oneInAim != otherInAim) {
+            return oneInAim;
+        }
+        if (one.isNested() != other.isNested()) {
+            return one.isNested();
+        }
+        return one.aimMillis() <= other.aimMillis();
+    }
+
+    private void admit(GatedCall call, long now) {
+        mInFlight++;
+        mWorkInFlightMillis += mTimes.millis(call.route());
+        mCold.onAdmitted(now);
+        call.onAdmitted();
+    }
+
+    private void admitWaiting() {
+        while (!mWaiting.isEmpty() && mInFlight < mLimit) {
+            long now = mClock.monotonicMillis();
+            long coldWait = coldWaitMillis(now);
+            if (coldWait > 0) {
+                wakeUpAfter(coldWait);
+                return;
+            }
+            GatedCall next = mWaiting.get(0);
+            for (GatedCall waiting : mWaiting) {
+                if (waiting != next && isBefore(waiting, next, now)) {
+                    next = waiting;
+                }
+            }
+            mWaiting.remove(next);
+            if (isWorthStarting(next, now)) {
+                admit(next, now);
+            } else {
+                next.onRefused(NotRunReason.NOT_RUN_REASON_EXPIRED, 0);
+            }
+        }
+    }
+
+    private void wakeUpAfter(long delayMillis) {
+        mWakeUp.ifPresent(Cancellable::cancel);
+        mWakeUp = Optional.of(mTimers.schedule(delayMillis, this::admitWaiting));
+    }
+
+    /**
+     * Takes the end of an admitted call.
+     *
+     * @param route the route's name
+     * @param serviceMicros time in the backend server, empty if it says nothing about its speed
+     */
+    public void leave(String route, Optional<Long> serviceMicros) {
+        mInFlight--;
+        mWorkInFlightMillis =
+                mInFlight == 0 ? 0 : Math.max(0, mWorkInFlightMillis - mTimes.millis(route));
+        serviceMicros.ifPresent(micros -> mTimes.add(route, micros));
+        admitWaiting();
+    }
+
+    /**
+     * Takes a waiting call out, because its caller is gone.
+     *
+     * @param call the call
+     * @return true if it was waiting; it has been refused then
+     */
+    public boolean cancel(GatedCall call) {
+        if (!mWaiting.remove(call)) {
+            return false;
+        }
+        call.onRefused(NotRunReason.NOT_RUN_REASON_CANCELLED, 0);
+        return true;
+    }
+
+    /** Refuses waiting calls whose time has run out. To be called several times a second. */
+    public void tick() {
+        long now = mClock.monotonicMillis();
+        for (GatedCall call : new ArrayList<>(mWaiting)) {
+            if (!isWorthStarting(call, now) && mWaiting.remove(call)) {
+                call.onRefused(NotRunReason.NOT_RUN_REASON_EXPIRED, 0);
+            }
+        }
+        admitWaiting();
+    }
+
+    /**
+     * Returns the limit.
+     *
+     * @return calls in flight at most
+     */
+    public int limit() {
+        return mLimit;
+    }
+
+    /**
+     * Returns the calls that are in flight or wait.
+     *
+     * @return the number
+     */
+    public int load() {
+        return mInFlight + mWaiting.size();
+    }
+
+    /**
+     * Returns the calls in flight.
+     *
+     * @return the number
+     */
+    public int inFlight() {
+        return mInFlight;
+    }
+
+    /**
+     * Returns the mean time in the backend server.
+     *
+     * @return microseconds, 0 if not known
+     */
+    public long meanMicros() {
+        return mTimes.meanMicros();
+    }
+}
--- /dev/null
+++ b/oriolewind-core/src/main/java/org/oriolewind/backend/BackendService.java
@@ -0,0 +1,171 @@
+package org.oriolewind.backend;
+
+import java.util.Optional;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import org.oriolewind.policy.OperatorView;
+import org.oriolewind.policy.ServicePolicy;
+import org.oriolewind.request.BackendPort;
+import org.oriolewind.request.CallAnswers;
+import org.oriolewind.request.CallServer;
+import org.oriolewind.request.Cancellable;
+import org.oriolewind.time.NodeClock;
+import org.oriolewind.wire.CallAnswer;
+import org.oriolewind.wire.CallRequest;
+import org.oriolewind.wire.NotRunReason;
+
+/**
+ * Serves calls for the backend server beside this node: checks that they belong here, passes them
+ * through the gate and hands them over. Not safe for use by several threads.
+ */
+public final class BackendService implements CallServer {
+    /** Share of the cold rate that operators name which is used, so that bounds hold at all times. */
+    private static final double COLD_RATE_SHARE = 1.2;
+
+    /** Rate for cold backend servers of which operators say nothing. */
+    private static final double DEFAULT_COLD_PER_SECOND = 5;
+
+    private final String mDataCentre;
+    private final NodeClock mClock;
+    private final LocalBackend mBackend;
+    private final BackendGate mGate;
+    private final BackendPort mPort;
+    private final Supplier<OperatorView> mView;
+    private final FailureShare mFailures = new FailureShare();
+    private boolean mLeaving;
+
+    /**
+     * Creates a service.
+     *
+     * @param dataCentre this node's data centre
+     * @param clock the clock
+     * @param backend what is known of the backend server
+     * @param gate the gate in front of it
+     * @param port the way to it
+     * @param view the operators' documents
+     */
+    public BackendService(
+            String dataCentre,
+            NodeClock clock,
+            LocalBackend backend,
+            BackendGate gate,
+            BackendPort port,
+            Supplier<OperatorView> view) {
+        mDataCentre = dataCentre;
+        mClock = clock;
+        mBackend = backend;
+        mGate = gate;
+        mPort = port;
+        mView = view;
+    }
+
+    NodeClock clock() {
+        return mClock;
+    }
+
+    BackendGate gate() {
+        return mGate;
+    }
+
+    LocalBackend backend() {
+        return mBackend;
+    }
+
+    BackendPort port() {
+        return mPort;
+    }
+
+    /** Takes no more calls, since this node ends. */
+    public void beginLeaving() {
+        mLeaving = true;
+        refresh();
+    }
+
+    /**
+     * Brings the gate in line with the heartbeats and the operators' documents. To be called after
+     * each change of them and several times a second.
+     */
+    public void refresh() {
+        if (mLeaving || mBackend.isReady() && isOut()) {
+            mGate.close(
+                    mLeaving
+                            ? NotRunReason.NOT_RUN_REASON_LEAVING
+                            : NotRunReason.NOT_RUN_REASON_DATA_CENTRE_OUT);
+        } else if (mBackend.isReady()) {
+            BackendReport report = mBackend.latest().orElseThrow();
+            mGate.open(report.slots(), coldPerSecond(report));
+        } else {
+            boolean known = mBackend.latest().isPresent();
+            mGate.close(
+                    known
+                            ? NotRunReason.NOT_RUN_REASON_LEAVING
+                            : NotRunReason.NOT_RUN_REASON_UNREACHABLE);
+        }
+    }
+
+    private boolean isOut() {
+        return mView.get().isOut(mDataCentre);
+    }
+
+    private Optional<Double> coldPerSecond(BackendReport report) {
+        if (!mBackend.isCold()) {
+            return Optional.empty();
+        }
+        double rate =
+                mView.get()
+                        .policy()
+                        .flatMap(policy -> policy.service(report.service()))
+                        .map(ServicePolicy::coldPerSecond)
+                        .filter(r -> r > 0)
+                        .orElse(DEFAULT_COLD_PER_SECOND);
+        return Optional.of(rate * COLD_RATE_SHARE);
+    }
+
+    @Override
+    public Cancellable serve(CallRequest request, Consumer<CallAnswer> done) {
+        refresh();
+        BackendCall call = new BackendCall(this, request, done);
+        if (!isForBackend(request)) {
+            call.onRefused(NotRunReason.NOT_RUN_REASON_WRONG_TARGET, 0);
+            return () -> {};
+        }
+        mGate.enter(call);
+        return call;
+    }
+
+    private boolean isForBackend(CallRequest request) {
+        Optional<BackendReport> report = mBackend.latest();
+        if (report.isEmpty() || !report.get().service().equals(request.getService())) {
+            return false;
+        }
+        return request.getTargetInstance().isEmpty()
+                || request.getTargetInstance().equals(report.get().instanceId());
+    }
+
+    void onEnded(boolean failed) {
+        mFailures.add(failed, mClock.monotonicMillis());
+    }
+
+    CallAnswer notRun(NotRunReason reason, long retryAfterMillis) {
+        return withLoad(
+                CallAnswers.notRun(reason).toBuilder()
+                        .setRetryAfterMillis((int) Math.min(Integer.MAX_VALUE, retryAfterMillis)));
+    }
+
+    CallAnswer withLoad(CallAnswer.Builder answer) {
+        return answer.setLimit(mGate.limit())
+                .setInFlight(mGate.load())
+                .setMeanServiceMicros(mGate.meanMicros())
+                .setCold(mBackend.isCold())
+                .build();
+    }
+
+    /**
+     * Returns the share of late calls that failed at the backend server.
+     *
+     * @return thousandths
+     */
+    public int failurePermille() {
+        return (int) (mFailures.share(mClock.monotonicMillis()) * 1000);
+    }
+}
--- /dev/null
+++ b/oriolewind-core/src/main/java/org/oriolewind/dispatch/RoutedRequest.java
@@ -0,0 +1,329 @@
+package org.oriolewind.dispatch;
+
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Consumer;
+import java.util.function.Predicate;
+import org.oriolewind.placement.FleetMember;
+import org.oriolewind.policy.TrafficRoute;
+import org.oriolewind.request.Cancellable;
+import org.oriolewind.trial.TrialShare;
+import org.oriolewind.wire.BackendEntry;
+import org.oriolewind.wire.CallAnswer;
+import org.oriolewind.wire.CallOutcome;
+import org.oriolewind.wire.CallRequest;
+import org.oriolewind.wire.NotRunReason;
+
+/**
+ * One request on its way, on the configuration that was in force when it came.
+ *
+ * <p>Invariants: sendings follow one another and no two are open at once; a request that may not run
+ * again is sent on only after an answer that proves that it did not run; the end is given once. Not
+ * safe for use by several threads.
+ */
+final class RoutedRequest implements Cancellable {
+    private static final int SERVER_ERROR = 500;
+
+    /** Time beyond the deadline after which an answer of another node is no longer awaited. */
+    private static final long ANSWER_GRACE_MILLIS = 40;
+
+    /** Refusals by gates after which a request is refused: each costs a round trip. */
+    private static final int MAX_REFUSALS = 4;
+
+    /** Wait that is told when no backend server takes calls: a heartbeat brings the next one. */
+    private static final long NO_BACKEND_RETRY_MILLIS = 400;
+
+    /** Shortest wait that is told: less brings clients back into the same congestion. */
+    private static final long MIN_RETRY_MILLIS = 100;
+
+    /** Spreads the return of clients that were refused together. */
+    private static final double RETRY_SPREAD = 0.5;
+
+    private final DispatchContext mContext;
+    private final long mConfigVersion;
+    private final TrafficRoute mRoute;
+    private final ClientRequest mRequest;
+    private final Consumer<ClientReply> mDone;
+    private final String mService;
+    private final long mStartMillis;
+    private final long mDeadlineMillis;
+    private final Set<String> mTried = new HashSet<>();
+    private TrialShare mShare = TrialShare.ANY;
+    private Optional<Cancellable> mSending = Optional.empty();
+    private Optional<Cancellable> mTimeout = Optional.empty();
+    private Optional<CallAnswer> mServerAnswer = Optional.empty();
+    private NotRunReason mLatestRefusal = NotRunReason.NOT_RUN_REASON_UNREACHABLE;
+    private long mRetryAfterMillis = NO_BACKEND_RETRY_MILLIS;
+    private boolean mMayHaveRun;
+    private int mHandedOver;
+    private int mRefusals;
+    private boolean mEnded;
+
+    RoutedRequest(
+            DispatchContext context,
+            long configVersion,
+            TrafficRoute route,
+            ClientRequest request,
+            Consumer<ClientReply> done) {
+        mContext = context;
+        mConfigVersion = configVersion;
+        mRoute = route;
+        mRequest = request;
+        mDone = done;
+        mService = context.splits().choose(route);
+        mStartMillis = context.clock().monotonicMillis();
+        long left = request.timeLeftMillis().orElse(route.timeoutMillis());
+        mDeadlineMillis = mStartMillis + Math.min(left, route.timeoutMillis());
+    }
+
+    void start() {
+        mContext.budget().onRequest(mService);
+        mShare = mContext.trials().share(mService);
+        mTimeout =
+                Optional.of(
+                        mContext.timers()
+                                .schedule(
+                                        timeLeftMillis() + ANSWER_GRACE_MILLIS, this::onTimeout));
+        send();
+    }
+
+    private long timeLeftMillis() {
+        return mDeadlineMillis - mContext.clock().monotonicMillis();
+    }
+
+    private long aimLeftMillis() {
+        return mStartMillis + mRoute.aimMillis() - mContext.clock().monotonicMillis();
+    }
+
+    private void send() {
+        long left = timeLeftMillis();
+        if (left <= 0) {
+            mLatestRefusal = NotRunReason.NOT_RUN_REASON_EXPIRED;
+            endWithout();
+            return;
+        }
+        Optional<FleetMember> target = chooseTarget();
+        if (target.isEmpty()) {
+            endWithout();
+            return;
+        }
+        FleetMember member = target.get();
+        String node = member.status().getNode();
+        mTried.add(node);
+        member.onSent(mContext.clock().monotonicMillis());
+        CallRequest call = callTo(member, left);
+        Consumer<CallAnswer> onAnswer = answer -> onAnswer(member, answer);
+        mSending = Optional.empty();
+        int sending = mTried.size();
+        Cancellable cancellable =
+                node.equals(mContext.node())
+                        ? mContext.local().serve(call, onAnswer)
+                        : mContext.peers().send(member.status().getPeerAddress(), call, onAnswer);
+        // The answer may have come before the call returned, and the next sending with it.
+        if (sending == mTried.size() && !mEnded) {
+            mSending = Optional.of(cancellable);
+        }
+    }
+
+    private Optional<FleetMember> chooseTarget() {
+        boolean explore = mRoute.kind().mayRunAgain() && mTried.isEmpty();
+        Optional<String> trial = mContext.trials().target(mService);
+        if (trial.isEmpty()) {
+            return choose(version -> true, explore);
+        }
+        Predicate<String> isNew = version -> version.equals(trial.get());
+        Optional<FleetMember> preferred =
+                choose(mShare == TrialShare.NEW_FIRST ? isNew : isNew.negate(), explore);
+        if (preferred.isPresent() || mShare == TrialShare.OLD_ONLY) {
+            return preferred;
+        }
+        return choose(isNew.negate(), explore);
+    }
+
+    private Optional<FleetMember> choose(Predicate<String> versions, boolean explore) {
+        return mContext.placement()
+                .choose(
+                        mService,
+                        versions,
+                        mContext.view(),
+                        mTried,
+                        Math.max(1, aimLeftMillis()),
+                        explore);
+    }
+
+    private CallRequest callTo(FleetMember member, long leftMillis) {
+        return CallRequest.newBuilder()
+                .setService(mService)
+                .setServiceVersion(member.status().getBackend().getVersion())
+                .setTargetInstance(member.status().getBackend().getInstanceId())
+                .setRoute(mRoute.name())
+                .setMethod(mRequest.method())
+                .setPath(mRequest.target())
+                .addAllHeaders(mRequest.headers())
+                .setBody(mRequest.body())
+                .setTimeoutMillis((int) leftMillis)
+                .setAimMillis((int) Math.max(0, aimLeftMillis()))
+                .setIdempotent(mRoute.kind().mayRunAgain())
+                .setCallId(mRequest.id())
+                .setNested(mRequest.nested())
+                .setCallerService(mContext.callerService())
+                .setPriority(mRoute.priority())
+                .build();
+    }
+
+    private void onAnswer(FleetMember member, CallAnswer answer) {
+        if (mEnded) {
+            return;
+        }
+        member.onAnswer(answer);
+        switch (answer.getOutcome()) {
+            case CALL_OUTCOME_ANSWERED -> onServerAnswer(member, answer);
+            case CALL_OUTCOME_NOT_RUN -> onRefusal(member, answer);
+            default -> onUnknown(member, answer);
+        }
+    }
+
+    private void count(FleetMember member, boolean failed, CallAnswer answer) {
+        BackendEntry backend = member.status().getBackend();
+        mContext.trials()
+                .count(
+                        mService,
+                        backend.getVersion(),
+                        mRoute.name(),
+                        failed,
+                        answer.getCold(),
+                        answer.getServiceMicros());
+    }
+
+    private void onServerAnswer(FleetMember member, CallAnswer answer) {
+        boolean failed = answer.getStatus() >= SERVER_ERROR;
+        count(member, failed, answer);
+        mHandedOver++;
+        mMayHaveRun = true;
+        if (failed && mayRepeat()) {
+            mServerAnswer = Optional.of(answer);
+            sendAgain(member, "answered with status " + answer.getStatus());
+            return;
+        }
+        end(answered(answer), "answered", member.status().getNode());
+    }
+
+    private static ClientReply answered(CallAnswer answer) {
+        return new ClientReply.Answered(
+                answer.getStatus(), answer.getHeadersList(), answer.getBody());
+    }
+
+    private boolean mayRepeat() {
+        return mRoute.kind().mayRunAgain()
+                && mHandedOver < mRoute.maxAttempts()
+                && timeLeftMillis() > 0
+                && chooseTarget().isPresent()
+                && mContext.budget().tryRepeat(mService);
+    }
+
+    private void onRefusal(FleetMember member, CallAnswer answer) {
+        NotRunReason reason = answer.getNotRunReason();
+        mLatestRefusal = reason;
+        mRefusals++;
+        long now = mContext.clock().monotonicMillis();
+        if (reason == NotRunReason.NOT_RUN_REASON_UNREACHABLE
+                || reason == NotRunReason.NOT_RUN_REASON_LEAVING
+                || reason == NotRunReason.NOT_RUN_REASON_WRONG_TARGET) {
+            member.onUnreachable(now);
+        }
+        if (answer.getRetryAfterMillis() > 0) {
+            mRetryAfterMillis = answer.getRetryAfterMillis();
+        }
+        boolean elsewhere =
+                switch (reason) {
+                    case NOT_RUN_REASON_EXPIRED, NOT_RUN_REASON_CANCELLED -> false;
+                    // A refusal by the backend server itself is an arrival there.
+                    case NOT_RUN_REASON_REFUSED_BY_BACKEND ->
+                            ++mHandedOver < mRoute.maxAttempts()
+                                    && mContext.budget().tryRepeat(mService);
+                    default -> mRefusals < MAX_REFUSALS;
+                };
+        if (elsewhere) {
+            sendAgain(member, reason.name());
+        } else {
+            endWithout();
+        }
+    }
+
+    private void onUnknown(FleetMember member, CallAnswer answer) {
+        boolean timedOut = timeLeftMillis() <= 0;
+        count(member, true, answer);
+        mHandedOver++;
+        mMayHaveRun = true;
+        if (!timedOut) {
+            member.onUnreachable(mContext.clock().monotonicMillis());
+            if (mayRepeat()) {
+                sendAgain(member, "no whole answer");
+                return;
+            }
+        }
+        endWithout();
+    }
+
+    private void sendAgain(FleetMember member, String reason) {
+        mContext.log().sentAgain(mRequest.id(), member.status().getNode(), reason);
+        send();
+    }
+
+    private void onTimeout() {
+        boolean open = mSending.isPresent();
+        mSending.ifPresent(Cancellable::cancel);
+        mMayHaveRun |= open;
+        endWithout();
+    }
+
+    /** Ends the request with the best that is known, as no further sending is possible. */
+    private void endWithout() {
+        if (mServerAnswer.isPresent()) {
+            end(answered(mServerAnswer.get()), "answered", "earlier answer");
+        } else if (mMayHaveRun) {
+            boolean timedOut = timeLeftMillis() <= 0;
+            end(new ClientReply.Unknown(timedOut), timedOut ? "timed out" : "unknown", "");
+        } else {
+            double spread = 1 + mContext.random().nextDouble() * RETRY_SPREAD;
+            long retry = (long) (Math.max(MIN_RETRY_MILLIS, mRetryAfterMillis) * spread);
+            end(
+                    new ClientReply.NotRun(mLatestRefusal, retry),
+                    "refused",
+                    mLatestRefusal + ", retry after " + retry + " ms");
+        }
+    }
+
+    private void end(ClientReply reply, String outcome, String detail) {
+        if (mEnded) {
+            return;
+        }
+        finish(outcome, detail);
+        mDone.accept(reply);
+    }
+
+    private void finish(String outcome, String detail) {
+        mEnded = true;
+        mTimeout.ifPresent(Cancellable::cancel);
+        long millis = mContext.clock().monotonicMillis() - mStartMillis;
+        String inputs =
+                detail
+                        + "; service "
+                        + mService
+                        + ", configuration "
+                        + mConfigVersion
+                        + ", sent to "
+                        + mTried;
+        mContext.log().ended(mRequest, mRoute.name(), outcome, inputs, millis);
+    }
+
+    @Override
+    public void cancel() {
+        if (mEnded) {
+            return;
+        }
+        finish("cancelled", "the client is gone");
+        mSending.ifPresent(Cancellable::cancel);
+    }
+}
--- /dev/null
+++ b/oriolewind-core/src/main/java/org/oriolewind/placement/Fleet.java
@@ -0,0 +1,113 @@
+package org.oriolewind.placement;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import org.oriolewind.time.NodeClock;
+import org.oriolewind.wire.NodeStatus;
+
+/**
+ * The nodes that this one has heard of, itself included. Not safe for use by several threads.
+ *
+ * <p>Invariant: a status of an earlier incarnation, or an earlier one of the same, is ignored.
+ */
+public final class Fleet {
+    /** Silence after which a node counts as out of reach: statuses come each 1 s, and one may be lost. */
+    public static final long SILENT_MILLIS = 2500;
+
+    private final NodeClock mClock;
+    private final Map<String, FleetMember> mMembers = new TreeMap<>();
+
+    /**
+     * Creates an empty fleet.
+     *
+     * @param clock the clock
+     */
+    public Fleet(NodeClock clock) {
+        mClock = clock;
+    }
+
+    /**
+     * Takes a status.
+     *
+     * @param status the status
+     * @return true if it was news
+     */
+    public boolean onStatus(NodeStatus status) {
+        long now = mClock.monotonicMillis();
+        FleetMember member = mMembers.get(status.getNode());
+        if (member == null) {
+            mMembers.put(status.getNode(), new FleetMember(status, now));
+            return true;
+        }
+        NodeStatus known = member.status();
+        boolean older =
+                status.getIncarnation() < known.getIncarnation()
+                        || status.getIncarnation() == known.getIncarnation()
+                                && status.getSequence() <= known.getSequence();
+        if (older) {
+            return false;
+        }
+        member.onStatus(status, now);
+        return true;
+    }
+
+    /**
+     * Returns the members whose backend servers take calls of a service.
+     *
+     * @param service the service
+     * @return the members
+     */
+    public List<FleetMember> serving(String service) {
+        List<FleetMember> serving = new ArrayList<>();
+        for (FleetMember member : mMembers.values()) {
+            if (member.serves(service)) {
+                serving.add(member);
+            }
+        }
+        return serving;
+    }
+
+    /**
+     * Returns whether a member was heard of lately.
+     *
+     * @param member the member
+     * @return true if it was
+     */
+    public boolean isHeard(FleetMember member) {
+        return member.silentMillis(mClock.monotonicMillis()) <= SILENT_MILLIS;
+    }
+
+    /**
+     * Returns the members that were heard of lately.
+     *
+     * @return the members by name
+     */
+    public List<FleetMember> heard() {
+        List<FleetMember> heard = new ArrayList<>(mMembers.values());
+        heard.removeIf(member -> !isHeard(member));
+        return heard;
+    }
+
+    /**
+     * Finds a member.
+     *
+     * @param node its name
+     * @return the member
+     */
+    public Optional<FleetMember> member(String node) {
+        return Optional.ofNullable(mMembers.get(node));
+    }
+
+    /**
+     * Returns all members.
+     *
+     * @return the members by name
+     */
+    public Collection<FleetMember> all() {
+        return mMembers.values();
+    }
+}
--- /dev/null
+++ b/oriolewind-core/src/main/java/org/oriolewind/placement/FleetMember.java
@@ -0,0 +1,156 @@
+package org.oriolewind.placement;
+
+import org.oriolewind.wire.BackendPhase;
+import org.oriolewind.wire.CallAnswer;
+import org.oriolewind.wire.NodeStatus;
+
+/**
+ * One node as another one knows it: its latest status, and the load that answers have shown since.
+ * Not safe for use by several threads.
+ */
+public final class FleetMember {
+    /** Passed over for this long after a failure; doubles with each failure in a row. */
+    private static final long SUSPECT_BASE_MILLIS = 200;
+
+    private static final long SUSPECT_MAX_MILLIS = 2000;
+
+    /** Assumed service time of a backend server that has not answered yet, in milliseconds. */
+    private static final double UNKNOWN_SERVICE_MILLIS = 200;
+
+    private NodeStatus mStatus;
+    private long mHeardMillis;
+    private int mLimit;
+    private int mLoad;
+    private int mSentSinceReport;
+    private long mMeanMicros;
+    private int mFailuresInRow;
+    private long mSuspectUntilMillis = Long.MIN_VALUE;
+    private long mLastSentMillis = Long.MIN_VALUE / 2;
+
+    FleetMember(NodeStatus status, long nowMillis) {
+        onStatus(status, nowMillis);
+    }
+
+    void onStatus(NodeStatus status, long nowMillis) {
+        boolean restarted =
+                mStatus != null && status.getIncarnation() != mStatus.getIncarnation();
+        if (restarted) {
+            mFailuresInRow = 0;
+            mSuspectUntilMillis = Long.MIN_VALUE;
+        }
+        mStatus = status;
+        mHeardMillis = nowMillis;
+        report(status.getLimit(), status.getInFlight(), status.getMeanServiceMicros());
+    }
+
+    private void report(int limit, int load, long meanMicros) {
+        mLimit = Math.max(1, limit);
+        mLoad = load;
+        mSentSinceReport = 0;
+        mMeanMicros = meanMicros;
+    }
+
+    /**
+     * Counts a call that is sent there.
+     *
+     * @param nowMillis monotonic time
+     */
+    public void onSent(long nowMillis) {
+        mSentSinceReport++;
+        mLastSentMillis = nowMillis;
+    }
+
+    /**
+     * Takes the load that an answer carries.
+     *
+     * @param answer the answer
+     */
+    public void onAnswer(CallAnswer answer) {
+        if (answer.getLimit() > 0) {
+            report(answer.getLimit(), answer.getInFlight(), answer.getMeanServiceMicros());
+            mFailuresInRow = 0;
+        }
+    }
+
+    /**
+     * Takes that the node could not be reached.
+     *
+     * @param nowMillis monotonic time
+     */
+    public void onUnreachable(long nowMillis) {
+        long pause = SUSPECT_BASE_MILLIS << Math.min(mFailuresInRow, 8);
+        mFailuresInRow++;
+        mSuspectUntilMillis = nowMillis + Math.min(SUSPECT_MAX_MILLIS, pause);
+    }
+
+    /**
+     * Returns whether calls to the node failed lately.
+     *
+     * @param nowMillis monotonic time
+     * @return true if it shall be passed over
+     */
+    public boolean isSuspect(long nowMillis) {
+        return nowMillis < mSuspectUntilMillis;
+    }
+
+    /**
+     * Returns the time since the latest status.
+     *
+     * @param nowMillis monotonic time
+     * @return milliseconds
+     */
+    public long silentMillis(long nowMillis) {
+        return nowMillis - mHeardMillis;
+    }
+
+    /**
+     * Returns the time since a call was sent there.
+     *
+     * @param nowMillis monotonic time
+     * @return milliseconds
+     */
+    public long idleMillis(long nowMillis) {
+        return nowMillis - mLastSentMillis;
+    }
+
+    /**
+     * Returns whether the backend server takes calls of a service.
+     *
+     * @param service the service
+     * @return true if it is ready and the node does not leave
+     */
+    public boolean serves(String service) {
+        return !mStatus.getLeaving()
+                && mStatus.getBackend().getPhase() == BackendPhase.BACKEND_PHASE_READY
+                && mStatus.getBackend().getService().equals(service);
+    }
+
+    /**
+     * Returns the time that a call sent now is expected to take there.
+     *
+     * @return milliseconds
+     */
+    public double expectedMillis() {
+        double service = mMeanMicros > 0 ? mMeanMicros / 1000.0 : UNKNOWN_SERVICE_MILLIS;
+        double load = mLoad + mSentSinceReport + 1;
+        return service * Math.max(1, load / mLimit);
+    }
+
+    /**
+     * Returns whether the next call would wait there.
+     *
+     * @return true if all its slots are taken
+     */
+    public boolean isFull() {
+        return mLoad + mSentSinceReport >= mLimit;
+    }
+
+    /**
+     * Returns the latest status.
+     *
+     * @return the status
+     */
+    public NodeStatus status() {
+        return mStatus;
+    }
+}
--- a/oriolewind-core/src/main/java/org/oriolewind/request/GateService.java
+++ b/oriolewind-core/src/main/java/org/oriolewind/request/GateService.java
@@ -15,7 +15,7 @@
  * Serves the calls for the backend server beside this node: checks that they belong here, passes
  * them through the gate and answers. Safe for use by several threads.
  */
-public final class GateService {
+public final class GateService implements CallServer {
     private final RequestServices mServices;
     private final Gate mGate;
     private final BackendPort mBackend;
@@ -53,13 +53,7 @@
         return mSignals;
     }
 
-    /**
-     * Serves a call.
-     *
-     * @param request the call
-     * @param done called once with the answer, on any thread
-     * @return gives the call up
-     */
+    @Override
     public Cancellable serve(CallRequest request, Consumer<CallAnswer> done) {
         NotRunReason refusal = refusal(request);
         if (refusal != NotRunReason.NOT_RUN_REASON_UNSPECIFIED) {
--- a/oriolewind-node/src/main/java/org/oriolewind/node/Node.java
+++ b/oriolewind-node/src/main/java/org/oriolewind/node/Node.java
@@ -26,6 +26,7 @@
 import org.oriolewind.node.call.NodeServices;
 import org.oriolewind.node.call.RequestPath;
 import org.oriolewind.node.log.EventLog;
+import org.oriolewind.node.peer.PeerAddress;
 import org.oriolewind.node.peer.PeerMeters;
 import org.oriolewind.node.peer.PeerRouter;
 import org.oriolewind.node.peer.PeerTransport;
@@ -105,7 +106,7 @@
         mMonitor =
                 new BackendMonitor(
                         mHttpClient,
-                        "http://" + text(settings.backend()) + settings.healthPath(),
+                        "http://" + PeerAddress.text(settings.backend()) + settings.healthPath(),
                         mRequestPath.signals(),
                         mClock,
                         this::onBackendChange);
@@ -135,7 +136,7 @@
     private RequestPath newRequestPath(EvidenceCollector evidence) {
         return new RequestPath(
                 mServices,
-                text(mSettings.backend()),
+                PeerAddress.text(mSettings.backend()),
                 mSettings.gate(),
                 mSettings.limits(),
                 mControl,
@@ -171,15 +172,11 @@
                 .setDataCentre(settings.dataCentre())
                 .setService(settings.service())
                 .setServiceVersion(settings.serviceVersion())
-                .setPeerAddress(text(settings.peer()))
-                .setCallerAddress(text(settings.caller()))
+                .setPeerAddress(PeerAddress.text(settings.peer()))
+                .setCallerAddress(PeerAddress.text(settings.caller()))
                 .build();
     }
 
-    private static String text(java.net.InetSocketAddress address) {
-        return address.getHostString() + ":" + address.getPort();
-    }
-
     private static OutputStream openEvents(String file) throws IOException {
         return file.equals("-") ? System.out : new FileOutputStream(file, true);
     }
@@ -220,7 +217,7 @@
         mAdminServer.start();
         mCallerServer.start();
         mEvents.record(Event.of(EventKind.NODE_STARTED, null, mSelf.getIncarnation(), null));
-        Logger.info("node {} serves callers at {}", mSettings.node(), text(mSettings.caller()));
+        Logger.info("node {} serves callers at {}", mSettings.node(), PeerAddress.text(mSettings.caller()));
     }
 
     private void afterTick() {
--- a/oriolewind-node/src/main/java/org/oriolewind/node/SettingsException.java
+++ b/oriolewind-node/src/main/java/org/oriolewind/node/SettingsException.java
@@ -9,7 +9,12 @@
 
     private final transient List<String> mFaults;
 
-    SettingsException(List<String> faults) {
+    /**
+     * Creates an exception.
+     *
+     * @param faults one line for each fault
+     */
+    public SettingsException(List<String> faults) {
         super("check settings", "local", String.join("; ", faults), null);
         mFaults = List.copyOf(faults);
     }
--- a/oriolewind-node/src/main/java/org/oriolewind/node/call/PeerCallLink.java
+++ b/oriolewind-node/src/main/java/org/oriolewind/node/call/PeerCallLink.java
@@ -41,6 +41,7 @@
     private final FrameStamp mStamp;
     private final NodeClock mClock;
     private final int mMaxStreams;
+    private final Consumer<Frame> mOnOther;
     private final Map<Long, Pending> mPending = new HashMap<>();
     private final List<Pending> mUnsent = new ArrayList<>();
     private PeerConnection mConnection;
@@ -50,12 +51,18 @@
     private long mHeardMillis;
 
     PeerCallLink(
-            String peerAddress, Member self, FrameStamp stamp, NodeClock clock, int maxStreams) {
+            String peerAddress,
+            Member self,
+            FrameStamp stamp,
+            NodeClock clock,
+            int maxStreams,
+            Consumer<Frame> onOther) {
         mPeerAddress = peerAddress;
         mSelf = self;
         mStamp = stamp;
         mClock = clock;
         mMaxStreams = maxStreams;
+        mOnOther = onOther;
         mHeardMillis = clock.monotonicMillis();
     }
 
@@ -85,6 +92,11 @@
         endAll();
     }
 
+    /** Returns whether the connection is made and not closed. */
+    synchronized boolean isOpen() {
+        return mConnection != null && !mClosed;
+    }
+
     synchronized boolean isClosed() {
         return mClosed;
     }
@@ -159,11 +171,42 @@
         switch (frame.getBodyCase()) {
             case CALL_ANSWER -> onAnswer(frame.getCallAnswer());
             case CALL_GO_AWAY -> onGoAway(frame.getCallGoAway().getLastStream());
+            case NODE_STATUS, DOCUMENT_SET -> onOther(frame);
             default -> connection.abort();
         }
         closeIfEnded(connection);
     }
 
+    private void onOther(Frame frame) {
+        synchronized (this) {
+            mHeardMillis = mClock.monotonicMillis();
+        }
+        mOnOther.accept(frame);
+    }
+
+    /** Sends a frame that is no call, if the connection is open. */
+    void sendOther(Frame frame) {
+        PeerConnection connection;
+        synchronized (this) {
+            connection = mClosed ? null : mConnection;
+        }
+        if (connection != null) {
+            connection.send(frame);
+        }
+    }
+
+    /** Gives the connection up if nothing was heard on it for a time. */
+    void abortIfSilent(long silenceMillis) {
+        PeerConnection connection;
+        synchronized (this) {
+            boolean silent = mClock.monotonicMillis() - mHeardMillis > silenceMillis;
+            connection = silent && !mClosed ? mConnection : null;
+        }
+        if (connection != null) {
+            connection.abort();
+        }
+    }
+
     private void onAnswer(CallAnswer answer) {
         Pending pending;
         synchronized (this) {
--- a/oriolewind-node/src/main/java/org/oriolewind/node/call/PeerCallServer.java
+++ b/oriolewind-node/src/main/java/org/oriolewind/node/call/PeerCallServer.java
@@ -9,7 +9,7 @@
 import org.oriolewind.node.peer.PeerListener;
 import org.oriolewind.request.CallAnswers;
 import org.oriolewind.request.Cancellable;
-import org.oriolewind.request.GateService;
+import org.oriolewind.request.CallServer;
 import org.oriolewind.wire.CallAnswer;
 import org.oriolewind.wire.CallGoAway;
 import org.oriolewind.wire.CallRequest;
@@ -22,21 +22,24 @@
  * threads.
  */
 final class PeerCallServer implements PeerListener {
-    private final GateService mGate;
+    private final CallServer mGate;
     private final FrameStamp mStamp;
     private final int mMaxStreams;
     private final BiConsumer<CallRequest, Consumer<CallAnswer>> mKeys;
+    private final BiConsumer<PeerConnection, Frame> mOnOther;
     private final Map<Long, Peer> mPeers = new ConcurrentHashMap<>();
 
     PeerCallServer(
-            GateService gate,
+            CallServer gate,
             FrameStamp stamp,
             int maxStreams,
-            BiConsumer<CallRequest, Consumer<CallAnswer>> keys) {
+            BiConsumer<CallRequest, Consumer<CallAnswer>> keys,
+            BiConsumer<PeerConnection, Frame> onOther) {
         mGate = gate;
         mStamp = stamp;
         mMaxStreams = maxStreams;
         mKeys = keys;
+        mOnOther = onOther;
     }
 
     /** The calls in progress of one connection. */
@@ -133,6 +136,7 @@
                     call.cancel();
                 }
             }
+            case NODE_STATUS, DOCUMENT_PULL -> mOnOther.accept(connection, frame);
             default -> connection.abort();
         }
     }
--- a/oriolewind-node/src/main/java/org/oriolewind/node/call/PeerCalls.java
+++ b/oriolewind-node/src/main/java/org/oriolewind/node/call/PeerCalls.java
@@ -51,7 +51,7 @@
     }
 
     private PeerCallLink newLink(String peerAddress, InetSocketAddress address) {
-        PeerCallLink link = new PeerCallLink(peerAddress, mSelf, mStamp, mClock, mMaxStreams);
+        PeerCallLink link = new PeerCallLink(peerAddress, mSelf, mStamp, mClock, mMaxStreams, frame -> {});
         link.connect(mTransport, address);
         return link;
     }
--- a/oriolewind-node/src/main/java/org/oriolewind/node/call/RequestPath.java
+++ b/oriolewind-node/src/main/java/org/oriolewind/node/call/RequestPath.java
@@ -69,7 +69,12 @@
         GateService gateService = new GateService(request, mGate, backend, mSignals);
         mPeers = new PeerCalls(services, stamp, limits.maxStreams());
         mPeerServer =
-                new PeerCallServer(gateService, stamp, limits.maxStreams(), control::onKeyRequest);
+                new PeerCallServer(
+                        gateService,
+                        stamp,
+                        limits.maxStreams(),
+                        control::onKeyRequest,
+                        (connection, frame) -> connection.abort());
         CallDispatcher dispatcher =
                 new CallDispatcher(
                         request,
--- /dev/null
+++ b/oriolewind-node/src/main/java/org/oriolewind/node/http/HttpExchange.java
@@ -0,0 +1,75 @@
+package org.oriolewind.node.http;
+
+import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
+
+/** One request and its end. Invariant: it ends once. To be used on its event loop only. */
+final class HttpExchange {
+    private final FullHttpRequest mRequest;
+    private final HttpReplyListener mListener;
+    private ScheduledFuture<?> mTimeout;
+    private HttpConnection mConnection;
+    private boolean mEnded;
+
+    HttpExchange(FullHttpRequest request, HttpReplyListener listener) {
+        mRequest = request;
+        mListener = listener;
+    }
+
+    void setTimeout(EventLoop loop, long millis) {
+        mTimeout = loop.schedule(() -> abort(true), millis, TimeUnit.MILLISECONDS);
+    }
+
+    FullHttpRequest request() {
+        return mRequest;
+    }
+
+    boolean isEnded() {
+        return mEnded;
+    }
+
+    void onSent(HttpConnection connection) {
+        mConnection = connection;
+    }
+
+    boolean answers(FullHttpResponse response) {
+        return mListener.answers(response);
+    }
+
+    void abort(boolean timedOut) {
+        if (mEnded) {
+            return;
+        }
+        boolean sent = mConnection != null;
+        end();
+        if (sent) {
+            mConnection.close();
+        }
+        mListener.onFailure(sent, timedOut, timedOut ? "no response in time" : "given up");
+    }
+
+    void fail(boolean sent, String reason) {
+        if (!mEnded) {
+            end();
+            mListener.onFailure(sent, false, reason);
+        }
+    }
+
+    void succeed(FullHttpResponse response) {
+        if (!mEnded) {
+            end();
+            mListener.onReply(response);
+        }
+    }
+
+    private void end() {
+        mEnded = true;
+        mTimeout.cancel(false);
+        if (mConnection == null) {
+            mRequest.release();
+        }
+    }
+}
--- /dev/null
+++ b/oriolewind-node/src/main/java/org/oriolewind/node/http/package-info.java
@@ -0,0 +1,2 @@
+/** A small HTTP client on an event loop. */
+package org.oriolewind.node.http;
--- a/oriolewind-node/src/main/java/org/oriolewind/node/peer/PeerAddress.java
+++ b/oriolewind-node/src/main/java/org/oriolewind/node/peer/PeerAddress.java
@@ -31,4 +31,14 @@
             return Optional.empty();
         }
     }
+
+    /**
+     * Writes an address as text.
+     *
+     * @param address the address
+     * @return host and port, joined by a colon
+     */
+    public static String text(InetSocketAddress address) {
+        return address.getHostString() + ":" + address.getPort();
+    }
 }
--- a/oriolewind-wire/src/main/java/org/oriolewind/wire/CallAnswer.java
+++ b/oriolewind-wire/src/main/java/org/oriolewind/wire/CallAnswer.java
@@ -218,6 +218,36 @@
     return inFlight_;
   }
 
+  public static final int RETRY_AFTER_MILLIS_FIELD_NUMBER = 11;
+  private int retryAfterMillis_ = 0;
+  /**
+   * <pre>
+   * Time after which the gate expects to have room, in milliseconds; set on refusals.
+   * </pre>
+   *
+   * <code>uint32 retry_after_millis = 11;</code>
+   * @return The retryAfterMillis.
+   */
+  @java.lang.Override
+  public int getRetryAfterMillis() {
+    return retryAfterMillis_;
+  }
+
+  public static final int MEAN_SERVICE_MICROS_FIELD_NUMBER = 12;
+  private long meanServiceMicros_ = 0L;
+  /**
+   * <pre>
+   * Mean time in the backend server, in microseconds.
+   * </pre>
+   *
+   * <code>uint64 mean_service_micros = 12;</code>
+   * @return The meanServiceMicros.
+   */
+  @java.lang.Override
+  public long getMeanServiceMicros() {
+    return meanServiceMicros_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -262,6 +292,12 @@
     if (inFlight_ != 0) {
       output.writeUInt32(10, inFlight_);
     }
+    if (retryAfterMillis_ != 0) {
+      output.writeUInt32(11, retryAfterMillis_);
+    }
+    if (meanServiceMicros_ != 0L) {
+      output.writeUInt64(12, meanServiceMicros_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -311,6 +347,14 @@
       size += com.google.protobuf.CodedOutputStream
         .computeUInt32Size(10, inFlight_);
     }
+    if (retryAfterMillis_ != 0) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt32Size(11, retryAfterMillis_);
+    }
+    if (meanServiceMicros_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt64Size(12, meanServiceMicros_);
+    }
     return size;
   }
   @java.lang.Override
@@ -353,6 +397,10 @@
         != other.getLimit()) return false;
     if (getInFlight()
         != other.getInFlight()) return false;
+    if (getRetryAfterMillis()
+        != other.getRetryAfterMillis()) return false;
+    if (getMeanServiceMicros()
+        != other.getMeanServiceMicros()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -389,6 +437,11 @@
     hash = (53 * hash) + getLimit();
     hash = (37 * hash) + IN_FLIGHT_FIELD_NUMBER;
     hash = (53 * hash) + getInFlight();
+    hash = (37 * hash) + RETRY_AFTER_MILLIS_FIELD_NUMBER;
+    hash = (53 * hash) + getRetryAfterMillis();
+    hash = (37 * hash) + MEAN_SERVICE_MICROS_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getMeanServiceMicros());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -536,6 +589,8 @@
       cold_ = false;
       limit_ = 0;
       inFlight_ = 0;
+      retryAfterMillis_ = 0;
+      meanServiceMicros_ = 0L;
       return this;
     }
 
@@ -609,6 +664,12 @@
       if (((from_bitField0_ & 0x00000200) != 0)) {
         result.inFlight_ = inFlight_;
       }
+      if (((from_bitField0_ & 0x00000400) != 0)) {
+        result.retryAfterMillis_ = retryAfterMillis_;
+      }
+      if (((from_bitField0_ & 0x00000800) != 0)) {
+        result.meanServiceMicros_ = meanServiceMicros_;
+      }
     }
 
     @java.lang.Override
@@ -676,6 +737,12 @@
       if (other.getInFlight() != 0) {
         setInFlight(other.getInFlight());
       }
+      if (other.getRetryAfterMillis() != 0) {
+        setRetryAfterMillis(other.getRetryAfterMillis());
+      }
+      if (other.getMeanServiceMicros() != 0L) {
+        setMeanServiceMicros(other.getMeanServiceMicros());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -758,6 +825,16 @@
               bitField0_ |= 0x00000200;
               break;
             } // case 80
+            case 88: {
+              retryAfterMillis_ = input.readUInt32();
+              bitField0_ |= 0x00000400;
+              break;
+            } // case 88
+            case 96: {
+              meanServiceMicros_ = input.readUInt64();
+              bitField0_ |= 0x00000800;
+              break;
+            } // case 96
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1373,6 +1450,94 @@
       return this;
     }
 
+    private int retryAfterMillis_ ;
+    /**
+     * <pre>
+     * Time after which the gate expects to have room, in milliseconds; set on refusals.
+     * </pre>
+     *
+     * <code>uint32 retry_after_millis = 11;</code>
+     * @return The retryAfterMillis.
+     */
+    @java.lang.Override
+    public int getRetryAfterMillis() {
+      return retryAfterMillis_;
+    }
+    /**
+     * <pre>
+     * Time after which the gate expects to have room, in milliseconds; set on refusals.
+     * </pre>
+     *
+     * <code>uint32 retry_after_millis = 11;</code>
+     * @param value The retryAfterMillis to set.
+     * @return This builder for chaining.
+     */
+    public Builder setRetryAfterMillis(int value) {
+
+      retryAfterMillis_ = value;
+      bitField0_ |= 0x00000400;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Time after which the gate expects to have room, in milliseconds; set on refusals.
+     * </pre>
+     *
+     * <code>uint32 retry_after_millis = 11;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearRetryAfterMillis() {
+      bitField0_ = (bitField0_ & ~0x00000400);
+      retryAfterMillis_ = 0;
+      onChanged();
+      return this;
+    }
+
+    private long meanServiceMicros_ ;
+    /**
+     * <pre>
+     * Mean time in the backend server, in microseconds.
+     * </pre>
+     *
+     * <code>uint64 mean_service_micros = 12;</code>
+     * @return The meanServiceMicros.
+     */
+    @java.lang.Override
+    public long getMeanServiceMicros() {
+      return meanServiceMicros_;
+    }
+    /**
+     * <pre>
+     * Mean time in the backend server, in microseconds.
+     * </pre>
+     *
+     * <code>uint64 mean_service_micros = 12;</code>
+     * @param value The meanServiceMicros to set.
+     * @return This builder for chaining.
+     */
+    public Builder setMeanServiceMicros(long value) {
+
+      meanServiceMicros_ = value;
+      bitField0_ |= 0x00000800;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Mean time in the backend server, in microseconds.
+     * </pre>
+     *
+     * <code>uint64 mean_service_micros = 12;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearMeanServiceMicros() {
+      bitField0_ = (bitField0_ & ~0x00000800);
+      meanServiceMicros_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:oriolewind.CallAnswer)
   }
 
--- a/oriolewind-wire/src/main/java/org/oriolewind/wire/CallAnswerOrBuilder.java
+++ b/oriolewind-wire/src/main/java/org/oriolewind/wire/CallAnswerOrBuilder.java
@@ -109,4 +109,24 @@
    * @return The inFlight.
    */
   int getInFlight();
+
+  /**
+   * <pre>
+   * Time after which the gate expects to have room, in milliseconds; set on refusals.
+   * </pre>
+   *
+   * <code>uint32 retry_after_millis = 11;</code>
+   * @return The retryAfterMillis.
+   */
+  int getRetryAfterMillis();
+
+  /**
+   * <pre>
+   * Mean time in the backend server, in microseconds.
+   * </pre>
+   *
+   * <code>uint64 mean_service_micros = 12;</code>
+   * @return The meanServiceMicros.
+   */
+  long getMeanServiceMicros();
 }
--- a/oriolewind-wire/src/main/java/org/oriolewind/wire/CallRequest.java
+++ b/oriolewind-wire/src/main/java/org/oriolewind/wire/CallRequest.java
@@ -38,6 +38,8 @@
     idempotencyKey_ = "";
     callId_ = "";
     keyOperation_ = 0;
+    targetInstance_ = "";
+    callerService_ = "";
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -455,6 +457,145 @@
     return result == null ? org.oriolewind.wire.KeyOperation.UNRECOGNIZED : result;
   }
 
+  public static final int TARGET_INSTANCE_FIELD_NUMBER = 15;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object targetInstance_ = "";
+  /**
+   * <pre>
+   * Instance id of the backend server that shall run the call; empty if any may.
+   * </pre>
+   *
+   * <code>string target_instance = 15;</code>
+   * @return The targetInstance.
+   */
+  @java.lang.Override
+  public java.lang.String getTargetInstance() {
+    java.lang.Object ref = targetInstance_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      targetInstance_ = s;
+      return s;
+    }
+  }
+  /**
+   * <pre>
+   * Instance id of the backend server that shall run the call; empty if any may.
+   * </pre>
+   *
+   * <code>string target_instance = 15;</code>
+   * @return The bytes for targetInstance.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getTargetInstanceBytes() {
+    java.lang.Object ref = targetInstance_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      targetInstance_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
+  public static final int AIM_MILLIS_FIELD_NUMBER = 16;
+  private int aimMillis_ = 0;
+  /**
+   * <pre>
+   * Time left in which the answer is worth most.
+   * </pre>
+   *
+   * <code>uint32 aim_millis = 16;</code>
+   * @return The aimMillis.
+   */
+  @java.lang.Override
+  public int getAimMillis() {
+    return aimMillis_;
+  }
+
+  public static final int NESTED_FIELD_NUMBER = 17;
+  private boolean nested_ = false;
+  /**
+   * <pre>
+   * Set on calls that a backend server makes while it runs another.
+   * </pre>
+   *
+   * <code>bool nested = 17;</code>
+   * @return The nested.
+   */
+  @java.lang.Override
+  public boolean getNested() {
+    return nested_;
+  }
+
+  public static final int CALLER_SERVICE_FIELD_NUMBER = 18;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object callerService_ = "";
+  /**
+   * <pre>
+   * Name of the service beside the node that took the call.
+   * </pre>
+   *
+   * <code>string caller_service = 18;</code>
+   * @return The callerService.
+   */
+  @java.lang.Override
+  public java.lang.String getCallerService() {
+    java.lang.Object ref = callerService_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      callerService_ = s;
+      return s;
+    }
+  }
+  /**
+   * <pre>
+   * Name of the service beside the node that took the call.
+   * </pre>
+   *
+   * <code>string caller_service = 18;</code>
+   * @return The bytes for callerService.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getCallerServiceBytes() {
+    java.lang.Object ref = callerService_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      callerService_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
+  public static final int PRIORITY_FIELD_NUMBER = 19;
+  private int priority_ = 0;
+  /**
+   * <pre>
+   * Rank of the route; 0 is the highest.
+   * </pre>
+   *
+   * <code>uint32 priority = 19;</code>
+   * @return The priority.
+   */
+  @java.lang.Override
+  public int getPriority() {
+    return priority_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -511,6 +652,21 @@
     if (keyOperation_ != org.oriolewind.wire.KeyOperation.KEY_OPERATION_UNSPECIFIED.getNumber()) {
       output.writeEnum(14, keyOperation_);
     }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(targetInstance_)) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 15, targetInstance_);
+    }
+    if (aimMillis_ != 0) {
+      output.writeUInt32(16, aimMillis_);
+    }
+    if (nested_ != false) {
+      output.writeBool(17, nested_);
+    }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(callerService_)) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 18, callerService_);
+    }
+    if (priority_ != 0) {
+      output.writeUInt32(19, priority_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -569,6 +725,24 @@
       size += com.google.protobuf.CodedOutputStream
         .computeEnumSize(14, keyOperation_);
     }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(targetInstance_)) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(15, targetInstance_);
+    }
+    if (aimMillis_ != 0) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt32Size(16, aimMillis_);
+    }
+    if (nested_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(17, nested_);
+    }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(callerService_)) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(18, callerService_);
+    }
+    if (priority_ != 0) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt32Size(19, priority_);
+    }
     return size;
   }
   @java.lang.Override
@@ -620,6 +794,16 @@
     if (!getCallId()
         .equals(other.getCallId())) return false;
     if (keyOperation_ != other.keyOperation_) return false;
+    if (!getTargetInstance()
+        .equals(other.getTargetInstance())) return false;
+    if (getAimMillis()
+        != other.getAimMillis()) return false;
+    if (getNested()
+        != other.getNested()) return false;
+    if (!getCallerService()
+        .equals(other.getCallerService())) return false;
+    if (getPriority()
+        != other.getPriority()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -663,6 +847,17 @@
     hash = (53 * hash) + getCallId().hashCode();
     hash = (37 * hash) + KEY_OPERATION_FIELD_NUMBER;
     hash = (53 * hash) + keyOperation_;
+    hash = (37 * hash) + TARGET_INSTANCE_FIELD_NUMBER;
+    hash = (53 * hash) + getTargetInstance().hashCode();
+    hash = (37 * hash) + AIM_MILLIS_FIELD_NUMBER;
+    hash = (53 * hash) + getAimMillis();
+    hash = (37 * hash) + NESTED_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getNested());
+    hash = (37 * hash) + CALLER_SERVICE_FIELD_NUMBER;
+    hash = (53 * hash) + getCallerService().hashCode();
+    hash = (37 * hash) + PRIORITY_FIELD_NUMBER;
+    hash = (53 * hash) + getPriority();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -814,6 +1009,11 @@
       idempotencyKey_ = "";
       callId_ = "";
       keyOperation_ = 0;
+      targetInstance_ = "";
+      aimMillis_ = 0;
+      nested_ = false;
+      callerService_ = "";
+      priority_ = 0;
       return this;
     }
 
@@ -899,6 +1099,21 @@
       if (((from_bitField0_ & 0x00002000) != 0)) {
         result.keyOperation_ = keyOperation_;
       }
+      if (((from_bitField0_ & 0x00004000) != 0)) {
+        result.targetInstance_ = targetInstance_;
+      }
+      if (((from_bitField0_ & 0x00008000) != 0)) {
+        result.aimMillis_ = aimMillis_;
+      }
+      if (((from_bitField0_ & 0x00010000) != 0)) {
+        result.nested_ = nested_;
+      }
+      if (((from_bitField0_ & 0x00020000) != 0)) {
+        result.callerService_ = callerService_;
+      }
+      if (((from_bitField0_ & 0x00040000) != 0)) {
+        result.priority_ = priority_;
+      }
     }
 
     @java.lang.Override
@@ -992,6 +1207,25 @@
       if (other.keyOperation_ != 0) {
         setKeyOperationValue(other.getKeyOperationValue());
       }
+      if (!other.getTargetInstance().isEmpty()) {
+        targetInstance_ = other.targetInstance_;
+        bitField0_ |= 0x00004000;
+        onChanged();
+      }
+      if (other.getAimMillis() != 0) {
+        setAimMillis(other.getAimMillis());
+      }
+      if (other.getNested() != false) {
+        setNested(other.getNested());
+      }
+      if (!other.getCallerService().isEmpty()) {
+        callerService_ = other.callerService_;
+        bitField0_ |= 0x00020000;
+        onChanged();
+      }
+      if (other.getPriority() != 0) {
+        setPriority(other.getPriority());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -1094,6 +1328,31 @@
               bitField0_ |= 0x00002000;
               break;
             } // case 112
+            case 122: {
+              targetInstance_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00004000;
+              break;
+            } // case 122
+            case 128: {
+              aimMillis_ = input.readUInt32();
+              bitField0_ |= 0x00008000;
+              break;
+            } // case 128
+            case 136: {
+              nested_ = input.readBool();
+              bitField0_ |= 0x00010000;
+              break;
+            } // case 136
+            case 146: {
+              callerService_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00020000;
+              break;
+            } // case 146
+            case 152: {
+              priority_ = input.readUInt32();
+              bitField0_ |= 0x00040000;
+              break;
+            } // case 152
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -2086,6 +2345,322 @@
       return this;
     }
 
+    private java.lang.Object targetInstance_ = "";
+    /**
+     * <pre>
+     * Instance id of the backend server that shall run the call; empty if any may.
+     * </pre>
+     *
+     * <code>string target_instance = 15;</code>
+     * @return The targetInstance.
+     */
+    public java.lang.String getTargetInstance() {
+      java.lang.Object ref = targetInstance_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        targetInstance_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <pre>
+     * Instance id of the backend server that shall run the call; empty if any may.
+     * </pre>
+     *
+     * <code>string target_instance = 15;</code>
+     * @return The bytes for targetInstance.
+     */
+    public com.google.protobuf.ByteString
+        getTargetInstanceBytes() {
+      java.lang.Object ref = targetInstance_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        targetInstance_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <pre>
+     * Instance id of the backend server that shall run the call; empty if any may.
+     * </pre>
+     *
+     * <code>string target_instance = 15;</code>
+     * @param value The targetInstance to set.
+     * @return This builder for chaining.
+     */
+    public Builder setTargetInstance(
+        java.lang.String value) {
+      java.util.Objects.requireNonNull(value);
+      targetInstance_ = value;
+      bitField0_ |= 0x00004000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Instance id of the backend server that shall run the call; empty if any may.
+     * </pre>
+     *
+     * <code>string target_instance = 15;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearTargetInstance() {
+      targetInstance_ = getDefaultInstance().getTargetInstance();
+      bitField0_ = (bitField0_ & ~0x00004000);
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Instance id of the backend server that shall run the call; empty if any may.
+     * </pre>
+     *
+     * <code>string target_instance = 15;</code>
+     * @param value The bytes for targetInstance to set.
+     * @return This builder for chaining.
+     */
+    public Builder setTargetInstanceBytes(
+        com.google.protobuf.ByteString value) {
+      java.util.Objects.requireNonNull(value);
+      checkByteStringIsUtf8(value);
+      targetInstance_ = value;
+      bitField0_ |= 0x00004000;
+      onChanged();
+      return this;
+    }
+
+    private int aimMillis_ ;
+    /**
+     * <pre>
+     * Time left in which the answer is worth most.
+     * </pre>
+     *
+     * <code>uint32 aim_millis = 16;</code>
+     * @return The aimMillis.
+     */
+    @java.lang.Override
+    public int getAimMillis() {
+      return aimMillis_;
+    }
+    /**
+     * <pre>
+     * Time left in which the answer is worth most.
+     * </pre>
+     *
+     * <code>uint32 aim_millis = 16;</code>
+     * @param value The aimMillis to set.
+     * @return This builder for chaining.
+     */
+    public Builder setAimMillis(int value) {
+
+      aimMillis_ = value;
+      bitField0_ |= 0x00008000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Time left in which the answer is worth most.
+     * </pre>
+     *
+     * <code>uint32 aim_millis = 16;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearAimMillis() {
+      bitField0_ = (bitField0_ & ~0x00008000);
+      aimMillis_ = 0;
+      onChanged();
+      return this;
+    }
+
+    private boolean nested_ ;
+    /**
+     * <pre>
+     * Set on calls that a backend server makes while it runs another.
+     * </pre>
+     *
+     * <code>bool nested = 17;</code>
+     * @return The nested.
+     */
+    @java.lang.Override
+    public boolean getNested() {
+      return nested_;
+    }
+    /**
+     * <pre>
+     * Set on calls that a backend server makes while it runs another.
+     * </pre>
+     *
+     * <code>bool nested = 17;</code>
+     * @param value The nested to set.
+     * @return This builder for chaining.
+     */
+    public Builder setNested(boolean value) {
+
+      nested_ = value;
+      bitField0_ |= 0x00010000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Set on calls that a backend server makes while it runs another.
+     * </pre>
+     *
+     * <code>bool nested = 17;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearNested() {
+      bitField0_ = (bitField0_ & ~0x00010000);
+      nested_ = false;
+      onChanged();
+      return this;
+    }
+
+    private java.lang.Object callerService_ = "";
+    /**
+     * <pre>
+     * Name of the service beside the node that took the call.
+     * </pre>
+     *
+     * <code>string caller_service = 18;</code>
+     * @return The callerService.
+     */
+    public java.lang.String getCallerService() {
+      java.lang.Object ref = callerService_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        callerService_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <pre>
+     * Name of the service beside the node that took the call.
+     * </pre>
+     *
+     * <code>string caller_service = 18;</code>
+     * @return The bytes for callerService.
+     */
+    public com.google.protobuf.ByteString
+        getCallerServiceBytes() {
+      java.lang.Object ref = callerService_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        callerService_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <pre>
+     * Name of the service beside the node that took the call.
+     * </pre>
+     *
+     * <code>string caller_service = 18;</code>
+     * @param value The callerService to set.
+     * @return This builder for chaining.
+     */
+    public Builder setCallerService(
+        java.lang.String value) {
+      java.util.Objects.requireNonNull(value);
+      callerService_ = value;
+      bitField0_ |= 0x00020000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Name of the service beside the node that took the call.
+     * </pre>
+     *
+     * <code>string caller_service = 18;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearCallerService() {
+      callerService_ = getDefaultInstance().getCallerService();
+      bitField0_ = (bitField0_ & ~0x00020000);
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Name of the service beside the node that took the call.
+     * </pre>
+     *
+     * <code>string caller_service = 18;</code>
+     * @param value The bytes for callerService to set.
+     * @return This builder for chaining.
+     */
+    public Builder setCallerServiceBytes(
+        com.google.protobuf.ByteString value) {
+      java.util.Objects.requireNonNull(value);
+      checkByteStringIsUtf8(value);
+      callerService_ = value;
+      bitField0_ |= 0x00020000;
+      onChanged();
+      return this;
+    }
+
+    private int priority_ ;
+    /**
+     * <pre>
+     * Rank of the route; 0 is the highest.
+     * </pre>
+     *
+     * <code>uint32 priority = 19;</code>
+     * @return The priority.
+     */
+    @java.lang.Override
+    public int getPriority() {
+      return priority_;
+    }
+    /**
+     * <pre>
+     * Rank of the route; 0 is the highest.
+     * </pre>
+     *
+     * <code>uint32 priority = 19;</code>
+     * @param value The priority to set.
+     * @return This builder for chaining.
+     */
+    public Builder setPriority(int value) {
+
+      priority_ = value;
+      bitField0_ |= 0x00040000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Rank of the route; 0 is the highest.
+     * </pre>
+     *
+     * <code>uint32 priority = 19;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearPriority() {
+      bitField0_ = (bitField0_ & ~0x00040000);
+      priority_ = 0;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:oriolewind.CallRequest)
   }
 
--- a/oriolewind-wire/src/main/java/org/oriolewind/wire/CallRequestOrBuilder.java
+++ b/oriolewind-wire/src/main/java/org/oriolewind/wire/CallRequestOrBuilder.java
@@ -168,4 +168,74 @@
    * @return The keyOperation.
    */
   org.oriolewind.wire.KeyOperation getKeyOperation();
+
+  /**
+   * <pre>
+   * Instance id of the backend server that shall run the call; empty if any may.
+   * </pre>
+   *
+   * <code>string target_instance = 15;</code>
+   * @return The targetInstance.
+   */
+  java.lang.String getTargetInstance();
+  /**
+   * <pre>
+   * Instance id of the backend server that shall run the call; empty if any may.
+   * </pre>
+   *
+   * <code>string target_instance = 15;</code>
+   * @return The bytes for targetInstance.
+   */
+  com.google.protobuf.ByteString
+      getTargetInstanceBytes();
+
+  /**
+   * <pre>
+   * Time left in which the answer is worth most.
+   * </pre>
+   *
+   * <code>uint32 aim_millis = 16;</code>
+   * @return The aimMillis.
+   */
+  int getAimMillis();
+
+  /**
+   * <pre>
+   * Set on calls that a backend server makes while it runs another.
+   * </pre>
+   *
+   * <code>bool nested = 17;</code>
+   * @return The nested.
+   */
+  boolean getNested();
+
+  /**
+   * <pre>
+   * Name of the service beside the node that took the call.
+   * </pre>
+   *
+   * <code>string caller_service = 18;</code>
+   * @return The callerService.
+   */
+  java.lang.String getCallerService();
+  /**
+   * <pre>
+   * Name of the service beside the node that took the call.
+   * </pre>
+   *
+   * <code>string caller_service = 18;</code>
+   * @return The bytes for callerService.
+   */
+  com.google.protobuf.ByteString
+      getCallerServiceBytes();
+
+  /**
+   * <pre>
+   * Rank of the route; 0 is the highest.
+   * </pre>
+   *
+   * <code>uint32 priority = 19;</code>
+   * @return The priority.
+   */
+  int getPriority();
 }
--- a/oriolewind-wire/src/main/java/org/oriolewind/wire/Frame.java
+++ b/oriolewind-wire/src/main/java/org/oriolewind/wire/Frame.java
@@ -66,6 +66,9 @@
     CALL_ANSWER(12),
     CALL_CANCEL(13),
     CALL_GO_AWAY(14),
+    NODE_STATUS(15),
+    DOCUMENT_PULL(16),
+    DOCUMENT_SET(17),
     BODY_NOT_SET(0);
     private final int value;
     private BodyCase(int value) {
@@ -95,6 +98,9 @@
         case 12: return CALL_ANSWER;
         case 13: return CALL_CANCEL;
         case 14: return CALL_GO_AWAY;
+        case 15: return NODE_STATUS;
+        case 16: return DOCUMENT_PULL;
+        case 17: return DOCUMENT_SET;
         case 0: return BODY_NOT_SET;
         default: return null;
       }
@@ -512,6 +518,99 @@
     return org.oriolewind.wire.CallGoAway.getDefaultInstance();
   }
 
+  public static final int NODE_STATUS_FIELD_NUMBER = 15;
+  /**
+   * <code>.oriolewind.NodeStatus node_status = 15;</code>
+   * @return Whether the nodeStatus field is set.
+   */
+  @java.lang.Override
+  public boolean hasNodeStatus() {
+    return bodyCase_ == 15;
+  }
+  /**
+   * <code>.oriolewind.NodeStatus node_status = 15;</code>
+   * @return The nodeStatus.
+   */
+  @java.lang.Override
+  public org.oriolewind.wire.NodeStatus getNodeStatus() {
+    if (bodyCase_ == 15) {
+       return (org.oriolewind.wire.NodeStatus) body_;
+    }
+    return org.oriolewind.wire.NodeStatus.getDefaultInstance();
+  }
+  /**
+   * <code>.oriolewind.NodeStatus node_status = 15;</code>
+   */
+  @java.lang.Override
+  public org.oriolewind.wire.NodeStatusOrBuilder getNodeStatusOrBuilder() {
+    if (bodyCase_ == 15) {
+       return (org.oriolewind.wire.NodeStatus) body_;
+    }
+    return org.oriolewind.wire.NodeStatus.getDefaultInstance();
+  }
+
+  public static final int DOCUMENT_PULL_FIELD_NUMBER = 16;
+  /**
+   * <code>.oriolewind.DocumentPull document_pull = 16;</code>
+   * @return Whether the documentPull field is set.
+   */
+  @java.lang.Override
+  public boolean hasDocumentPull() {
+    return bodyCase_ == 16;
+  }
+  /**
+   * <code>.oriolewind.DocumentPull document_pull = 16;</code>
+   * @return The documentPull.
+   */
+  @java.lang.Override
+  public org.oriolewind.wire.DocumentPull getDocumentPull() {
+    if (bodyCase_ == 16) {
+       return (org.oriolewind.wire.DocumentPull) body_;
+    }
+    return org.oriolewind.wire.DocumentPull.getDefaultInstance();
+  }
+  /**
+   * <code>.oriolewind.DocumentPull document_pull = 16;</code>
+   */
+  @java.lang.Override
+  public org.oriolewind.wire.DocumentPullOrBuilder getDocumentPullOrBuilder() {
+    if (bodyCase_ == 16) {
+       return (org.oriolewind.wire.DocumentPull) body_;
+    }
+    return org.oriolewind.wire.DocumentPull.getDefaultInstance();
+  }
+
+  public static final int DOCUMENT_SET_FIELD_NUMBER = 17;
+  /**
+   * <code>.oriolewind.DocumentSet document_set = 17;</code>
+   * @return Whether the documentSet field is set.
+   */
+  @java.lang.Override
+  public boolean hasDocumentSet() {
+    return bodyCase_ == 17;
+  }
+  /**
+   * <code>.oriolewind.DocumentSet document_set = 17;</code>
+   * @return The documentSet.
+   */
+  @java.lang.Override
+  public org.oriolewind.wire.DocumentSet getDocumentSet() {
+    if (bodyCase_ == 17) {
+       return (org.oriolewind.wire.DocumentSet) body_;
+    }
+    return org.oriolewind.wire.DocumentSet.getDefaultInstance();
+  }
+  /**
+   * <code>.oriolewind.DocumentSet document_set = 17;</code>
+   */
+  @java.lang.Override
+  public org.oriolewind.wire.DocumentSetOrBuilder getDocumentSetOrBuilder() {
+    if (bodyCase_ == 17) {
+       return (org.oriolewind.wire.DocumentSet) body_;
+    }
+    return org.oriolewind.wire.DocumentSet.getDefaultInstance();
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -568,6 +667,15 @@
     if (bodyCase_ == 14) {
       output.writeMessage(14, (org.oriolewind.wire.CallGoAway) body_);
     }
+    if (bodyCase_ == 15) {
+      output.writeMessage(15, (org.oriolewind.wire.NodeStatus) body_);
+    }
+    if (bodyCase_ == 16) {
+      output.writeMessage(16, (org.oriolewind.wire.DocumentPull) body_);
+    }
+    if (bodyCase_ == 17) {
+      output.writeMessage(17, (org.oriolewind.wire.DocumentSet) body_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -628,6 +736,18 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(14, (org.oriolewind.wire.CallGoAway) body_);
     }
+    if (bodyCase_ == 15) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(15, (org.oriolewind.wire.NodeStatus) body_);
+    }
+    if (bodyCase_ == 16) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(16, (org.oriolewind.wire.DocumentPull) body_);
+    }
+    if (bodyCase_ == 17) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(17, (org.oriolewind.wire.DocumentSet) body_);
+    }
     return size;
   }
   @java.lang.Override
@@ -706,6 +826,18 @@
         if (!getCallGoAway()
             .equals(other.getCallGoAway())) return false;
         break;
+      case 15:
+        if (!getNodeStatus()
+            .equals(other.getNodeStatus())) return false;
+        break;
+      case 16:
+        if (!getDocumentPull()
+            .equals(other.getDocumentPull())) return false;
+        break;
+      case 17:
+        if (!getDocumentSet()
+            .equals(other.getDocumentSet())) return false;
+        break;
       case 0:
       default:
     }
@@ -775,6 +907,18 @@
         hash = (37 * hash) + CALL_GO_AWAY_FIELD_NUMBER;
         hash = (53 * hash) + getCallGoAway().hashCode();
         break;
+      case 15:
+        hash = (37 * hash) + NODE_STATUS_FIELD_NUMBER;
+        hash = (53 * hash) + getNodeStatus().hashCode();
+        break;
+      case 16:
+        hash = (37 * hash) + DOCUMENT_PULL_FIELD_NUMBER;
+        hash = (53 * hash) + getDocumentPull().hashCode();
+        break;
+      case 17:
+        hash = (37 * hash) + DOCUMENT_SET_FIELD_NUMBER;
+        hash = (53 * hash) + getDocumentSet().hashCode();
+        break;
       case 0:
       default:
     }
@@ -947,6 +1091,15 @@
       if (callGoAwayBuilder_ != null) {
         callGoAwayBuilder_.clear();
       }
+      if (nodeStatusBuilder_ != null) {
+        nodeStatusBuilder_.clear();
+      }
+      if (documentPullBuilder_ != null) {
+        documentPullBuilder_.clear();
+      }
+      if (documentSetBuilder_ != null) {
+        documentSetBuilder_.clear();
+      }
       bodyCase_ = 0;
       body_ = null;
       return this;
@@ -1042,6 +1195,18 @@
           callGoAwayBuilder_ != null) {
         result.body_ = callGoAwayBuilder_.build();
       }
+      if (bodyCase_ == 15 &&
+          nodeStatusBuilder_ != null) {
+        result.body_ = nodeStatusBuilder_.build();
+      }
+      if (bodyCase_ == 16 &&
+          documentPullBuilder_ != null) {
+        result.body_ = documentPullBuilder_.build();
+      }
+      if (bodyCase_ == 17 &&
+          documentSetBuilder_ != null) {
+        result.body_ = documentSetBuilder_.build();
+      }
     }
 
     @java.lang.Override
@@ -1111,6 +1276,18 @@
           mergeCallGoAway(other.getCallGoAway());
           break;
         }
+        case NODE_STATUS: {
+          mergeNodeStatus(other.getNodeStatus());
+          break;
+        }
+        case DOCUMENT_PULL: {
+          mergeDocumentPull(other.getDocumentPull());
+          break;
+        }
+        case DOCUMENT_SET: {
+          mergeDocumentSet(other.getDocumentSet());
+          break;
+        }
         case BODY_NOT_SET: {
           break;
         }
@@ -1233,6 +1410,27 @@
               bodyCase_ = 14;
               break;
             } // case 114
+            case 122: {
+              input.readMessage(
+                  internalGetNodeStatusFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bodyCase_ = 15;
+              break;
+            } // case 122
+            case 130: {
+              input.readMessage(
+                  internalGetDocumentPullFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bodyCase_ = 16;
+              break;
+            } // case 130
+            case 138: {
+              input.readMessage(
+                  internalGetDocumentSetFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bodyCase_ = 17;
+              break;
+            } // case 138
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -3033,6 +3231,426 @@
       return callGoAwayBuilder_;
     }
 
+    private com.google.protobuf.SingleFieldBuilder<
+        org.oriolewind.wire.NodeStatus, org.oriolewind.wire.NodeStatus.Builder, org.oriolewind.wire.NodeStatusOrBuilder> nodeStatusBuilder_;
+    /**
+     * <code>.oriolewind.NodeStatus node_status = 15;</code>
+     * @return Whether the nodeStatus field is set.
+     */
+    @java.lang.Override
+    public boolean hasNodeStatus() {
+      return bodyCase_ == 15;
+    }
+    /**
+     * <code>.oriolewind.NodeStatus node_status = 15;</code>
+     * @return The nodeStatus.
+     */
+    @java.lang.Override
+    public org.oriolewind.wire.NodeStatus getNodeStatus() {
+      if (nodeStatusBuilder_ == null) {
+        if (bodyCase_ == 15) {
+          return (org.oriolewind.wire.NodeStatus) body_;
+        }
+        return org.oriolewind.wire.NodeStatus.getDefaultInstance();
+      } else {
+        if (bodyCase_ == 15) {
+          return nodeStatusBuilder_.getMessage();
+        }
+        return org.oriolewind.wire.NodeStatus.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.oriolewind.NodeStatus node_status = 15;</code>
+     */
+    public Builder setNodeStatus(org.oriolewind.wire.NodeStatus value) {
+      if (nodeStatusBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        body_ = value;
+        onChanged();
+      } else {
+        nodeStatusBuilder_.setMessage(value);
+      }
+      bodyCase_ = 15;
+      return this;
+    }
+    /**
+     * <code>.oriolewind.NodeStatus node_status = 15;</code>
+     */
+    public Builder setNodeStatus(
+        org.oriolewind.wire.NodeStatus.Builder builderForValue) {
+      if (nodeStatusBuilder_ == null) {
+        body_ = builderForValue.build();
+        onChanged();
+      } else {
+        nodeStatusBuilder_.setMessage(builderForValue.build());
+      }
+      bodyCase_ = 15;
+      return this;
+    }
+    /**
+     * <code>.oriolewind.NodeStatus node_status = 15;</code>
+     */
+    public Builder mergeNodeStatus(org.oriolewind.wire.NodeStatus value) {
+      if (nodeStatusBuilder_ == null) {
+        if (bodyCase_ == 15 &&
+            body_ != org.oriolewind.wire.NodeStatus.getDefaultInstance()) {
+          body_ = org.oriolewind.wire.NodeStatus.newBuilder((org.oriolewind.wire.NodeStatus) body_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          body_ = value;
+        }
+        onChanged();
+      } else {
+        if (bodyCase_ == 15) {
+          nodeStatusBuilder_.mergeFrom(value);
+        } else {
+          nodeStatusBuilder_.setMessage(value);
+        }
+      }
+      bodyCase_ = 15;
+      return this;
+    }
+    /**
+     * <code>.oriolewind.NodeStatus node_status = 15;</code>
+     */
+    public Builder clearNodeStatus() {
+      if (nodeStatusBuilder_ == null) {
+        if (bodyCase_ == 15) {
+          bodyCase_ = 0;
+          body_ = null;
+          onChanged();
+        }
+      } else {
+        if (bodyCase_ == 15) {
+          bodyCase_ = 0;
+          body_ = null;
+        }
+        nodeStatusBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.oriolewind.NodeStatus node_status = 15;</code>
+     */
+    public org.oriolewind.wire.NodeStatus.Builder getNodeStatusBuilder() {
+      return internalGetNodeStatusFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.oriolewind.NodeStatus node_status = 15;</code>
+     */
+    @java.lang.Override
+    public org.oriolewind.wire.NodeStatusOrBuilder getNodeStatusOrBuilder() {
+      if ((bodyCase_ == 15) && (nodeStatusBuilder_ != null)) {
+        return nodeStatusBuilder_.getMessageOrBuilder();
+      } else {
+        if (bodyCase_ == 15) {
+          return (org.oriolewind.wire.NodeStatus) body_;
+        }
+        return org.oriolewind.wire.NodeStatus.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.oriolewind.NodeStatus node_status = 15;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.oriolewind.wire.NodeStatus, org.oriolewind.wire.NodeStatus.Builder, org.oriolewind.wire.NodeStatusOrBuilder> 
+        internalGetNodeStatusFieldBuilder() {
+      if (nodeStatusBuilder_ == null) {
+        if (!(bodyCase_ == 15)) {
+          body_ = org.oriolewind.wire.NodeStatus.getDefaultInstance();
+        }
+        nodeStatusBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.oriolewind.wire.NodeStatus, org.oriolewind.wire.NodeStatus.Builder, org.oriolewind.wire.NodeStatusOrBuilder>(
+                (org.oriolewind.wire.NodeStatus) body_,
+                getParentForChildren(),
+                isClean());
+        body_ = null;
+      }
+      bodyCase_ = 15;
+      onChanged();
+      return nodeStatusBuilder_;
+    }
+
+    private com.google.protobuf.SingleFieldBuilder<
+        org.oriolewind.wire.DocumentPull, org.oriolewind.wire.DocumentPull.Builder, org.oriolewind.wire.DocumentPullOrBuilder> documentPullBuilder_;
+    /**
+     * <code>.oriolewind.DocumentPull document_pull = 16;</code>
+     * @return Whether the documentPull field is set.
+     */
+    @java.lang.Override
+    public boolean hasDocumentPull() {
+      return bodyCase_ == 16;
+    }
+    /**
+     * <code>.oriolewind.DocumentPull document_pull = 16;</code>
+     * @return The documentPull.
+     */
+    @java.lang.Override
+    public org.oriolewind.wire.DocumentPull getDocumentPull() {
+      if (documentPullBuilder_ == null) {
+        if (bodyCase_ == 16) {
+          return (org.oriolewind.wire.DocumentPull) body_;
+        }
+        return org.oriolewind.wire.DocumentPull.getDefaultInstance();
+      } else {
+        if (bodyCase_ == 16) {
+          return documentPullBuilder_.getMessage();
+        }
+        return org.oriolewind.wire.DocumentPull.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.oriolewind.DocumentPull document_pull = 16;</code>
+     */
+    public Builder setDocumentPull(org.oriolewind.wire.DocumentPull value) {
+      if (documentPullBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        body_ = value;
+        onChanged();
+      } else {
+        documentPullBuilder_.setMessage(value);
+      }
+      bodyCase_ = 16;
+      return this;
+    }
+    /**
+     * <code>.oriolewind.DocumentPull document_pull = 16;</code>
+     */
+    public Builder setDocumentPull(
+        org.oriolewind.wire.DocumentPull.Builder builderForValue) {
+      if (documentPullBuilder_ == null) {
+        body_ = builderForValue.build();
+        onChanged();
+      } else {
+        documentPullBuilder_.setMessage(builderForValue.build());
+      }
+      bodyCase_ = 16;
+      return this;
+    }
+    /**
+     * <code>.oriolewind.DocumentPull document_pull = 16;</code>
+     */
+    public Builder mergeDocumentPull(org.oriolewind.wire.DocumentPull value) {
+      if (documentPullBuilder_ == null) {
+        if (bodyCase_ == 16 &&
+            body_ != org.oriolewind.wire.DocumentPull.getDefaultInstance()) {
+          body_ = org.oriolewind.wire.DocumentPull.newBuilder((org.oriolewind.wire.DocumentPull) body_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          body_ = value;
+        }
+        onChanged();
+      } else {
+        if (bodyCase_ == 16) {
+          documentPullBuilder_.mergeFrom(value);
+        } else {
+          documentPullBuilder_.setMessage(value);
+        }
+      }
+      bodyCase_ = 16;
+      return this;
+    }
+    /**
+     * <code>.oriolewind.DocumentPull document_pull = 16;</code>
+     */
+    public Builder clearDocumentPull() {
+      if (documentPullBuilder_ == null) {
+        if (bodyCase_ == 16) {
+          bodyCase_ = 0;
+          body_ = null;
+          onChanged();
+        }
+      } else {
+        if (bodyCase_ == 16) {
+          bodyCase_ = 0;
+          body_ = null;
+        }
+        documentPullBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.oriolewind.DocumentPull document_pull = 16;</code>
+     */
+    public org.oriolewind.wire.DocumentPull.Builder getDocumentPullBuilder() {
+      return internalGetDocumentPullFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.oriolewind.DocumentPull document_pull = 16;</code>
+     */
+    @java.lang.Override
+    public org.oriolewind.wire.DocumentPullOrBuilder getDocumentPullOrBuilder() {
+      if ((bodyCase_ == 16) && (documentPullBuilder_ != null)) {
+        return documentPullBuilder_.getMessageOrBuilder();
+      } else {
+        if (bodyCase_ == 16) {
+          return (org.oriolewind.wire.DocumentPull) body_;
+        }
+        return org.oriolewind.wire.DocumentPull.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.oriolewind.DocumentPull document_pull = 16;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.oriolewind.wire.DocumentPull, org.oriolewind.wire.DocumentPull.Builder, org.oriolewind.wire.DocumentPullOrBuilder> 
+        internalGetDocumentPullFieldBuilder() {
+      if (documentPullBuilder_ == null) {
+        if (!(bodyCase_ == 16)) {
+          body_ = org.oriolewind.wire.DocumentPull.getDefaultInstance();
+        }
+        documentPullBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.oriolewind.wire.DocumentPull, org.oriolewind.wire.DocumentPull.Builder, org.oriolewind.wire.DocumentPullOrBuilder>(
+                (org.oriolewind.wire.DocumentPull) body_,
+                getParentForChildren(),
+                isClean());
+        body_ = null;
+      }
+      bodyCase_ = 16;
+      onChanged();
+      return documentPullBuilder_;
+    }
+
+    private com.google.protobuf.SingleFieldBuilder<
+        org.oriolewind.wire.DocumentSet, org.oriolewind.wire.DocumentSet.Builder, org.oriolewind.wire.DocumentSetOrBuilder> documentSetBuilder_;
+    /**
+     * <code>.oriolewind.DocumentSet document_set = 17;</code>
+     * @return Whether the documentSet field is set.
+     */
+    @java.lang.Override
+    public boolean hasDocumentSet() {
+      return bodyCase_ == 17;
+    }
+    /**
+     * <code>.oriolewind.DocumentSet document_set = 17;</code>
+     * @return The documentSet.
+     */
+    @java.lang.Override
+    public org.oriolewind.wire.DocumentSet getDocumentSet() {
+      if (documentSetBuilder_ == null) {
+        if (bodyCase_ == 17) {
+          return (org.oriolewind.wire.DocumentSet) body_;
+        }
+        return org.oriolewind.wire.DocumentSet.getDefaultInstance();
+      } else {
+        if (bodyCase_ == 17) {
+          return documentSetBuilder_.getMessage();
+        }
+        return org.oriolewind.wire.DocumentSet.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.oriolewind.DocumentSet document_set = 17;</code>
+     */
+    public Builder setDocumentSet(org.oriolewind.wire.DocumentSet value) {
+      if (documentSetBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        body_ = value;
+        onChanged();
+      } else {
+        documentSetBuilder_.setMessage(value);
+      }
+      bodyCase_ = 17;
+      return this;
+    }
+    /**
+     * <code>.oriolewind.DocumentSet document_set = 17;</code>
+     */
+    public Builder setDocumentSet(
+        org.oriolewind.wire.DocumentSet.Builder builderForValue) {
+      if (documentSetBuilder_ == null) {
+        body_ = builderForValue.build();
+        onChanged();
+      } else {
+        documentSetBuilder_.setMessage(builderForValue.build());
+      }
+      bodyCase_ = 17;
+      return this;
+    }
+    /**
+     * <code>.oriolewind.DocumentSet document_set = 17;</code>
+     */
+    public Builder mergeDocumentSet(org.oriolewind.wire.DocumentSet value) {
+      if (documentSetBuilder_ == null) {
+        if (bodyCase_ == 17 &&
+            body_ != org.oriolewind.wire.DocumentSet.getDefaultInstance()) {
+          body_ = org.oriolewind.wire.DocumentSet.newBuilder((org.oriolewind.wire.DocumentSet) body_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          body_ = value;
+        }
+        onChanged();
+      } else {
+        if (bodyCase_ == 17) {
+          documentSetBuilder_.mergeFrom(value);
+        } else {
+          documentSetBuilder_.setMessage(value);
+        }
+      }
+      bodyCase_ = 17;
+      return this;
+    }
+    /**
+     * <code>.oriolewind.DocumentSet document_set = 17;</code>
+     */
+    public Builder clearDocumentSet() {
+      if (documentSetBuilder_ == null) {
+        if (bodyCase_ == 17) {
+          bodyCase_ = 0;
+          body_ = null;
+          onChanged();
+        }
+      } else {
+        if (bodyCase_ == 17) {
+          bodyCase_ = 0;
+          body_ = null;
+        }
+        documentSetBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.oriolewind.DocumentSet document_set = 17;</code>
+     */
+    public org.oriolewind.wire.DocumentSet.Builder getDocumentSetBuilder() {
+      return internalGetDocumentSetFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.oriolewind.DocumentSet document_set = 17;</code>
+     */
+    @java.lang.Override
+    public org.oriolewind.wire.DocumentSetOrBuilder getDocumentSetOrBuilder() {
+      if ((bodyCase_ == 17) && (documentSetBuilder_ != null)) {
+        return documentSetBuilder_.getMessageOrBuilder();
+      } else {
+        if (bodyCase_ == 17) {
+          return (org.oriolewind.wire.DocumentSet) body_;
+        }
+        return org.oriolewind.wire.DocumentSet.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.oriolewind.DocumentSet document_set = 17;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.oriolewind.wire.DocumentSet, org.oriolewind.wire.DocumentSet.Builder, org.oriolewind.wire.DocumentSetOrBuilder> 
+        internalGetDocumentSetFieldBuilder() {
+      if (documentSetBuilder_ == null) {
+        if (!(bodyCase_ == 17)) {
+          body_ = org.oriolewind.wire.DocumentSet.getDefaultInstance();
+        }
+        documentSetBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.oriolewind.wire.DocumentSet, org.oriolewind.wire.DocumentSet.Builder, org.oriolewind.wire.DocumentSetOrBuilder>(
+                (org.oriolewind.wire.DocumentSet) body_,
+                getParentForChildren(),
+                isClean());
+        body_ = null;
+      }
+      bodyCase_ = 17;
+      onChanged();
+      return documentSetBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:oriolewind.Frame)
   }
 
--- a/oriolewind-wire/src/main/java/org/oriolewind/wire/FrameOrBuilder.java
+++ b/oriolewind-wire/src/main/java/org/oriolewind/wire/FrameOrBuilder.java
@@ -210,5 +210,50 @@
    */
   org.oriolewind.wire.CallGoAwayOrBuilder getCallGoAwayOrBuilder();
 
+  /**
+   * <code>.oriolewind.NodeStatus node_status = 15;</code>
+   * @return Whether the nodeStatus field is set.
+   */
+  boolean hasNodeStatus();
+  /**
+   * <code>.oriolewind.NodeStatus node_status = 15;</code>
+   * @return The nodeStatus.
+   */
+  org.oriolewind.wire.NodeStatus getNodeStatus();
+  /**
+   * <code>.oriolewind.NodeStatus node_status = 15;</code>
+   */
+  org.oriolewind.wire.NodeStatusOrBuilder getNodeStatusOrBuilder();
+
+  /**
+   * <code>.oriolewind.DocumentPull document_pull = 16;</code>
+   * @return Whether the documentPull field is set.
+   */
+  boolean hasDocumentPull();
+  /**
+   * <code>.oriolewind.DocumentPull document_pull = 16;</code>
+   * @return The documentPull.
+   */
+  org.oriolewind.wire.DocumentPull getDocumentPull();
+  /**
+   * <code>.oriolewind.DocumentPull document_pull = 16;</code>
+   */
+  org.oriolewind.wire.DocumentPullOrBuilder getDocumentPullOrBuilder();
+
+  /**
+   * <code>.oriolewind.DocumentSet document_set = 17;</code>
+   * @return Whether the documentSet field is set.
+   */
+  boolean hasDocumentSet();
+  /**
+   * <code>.oriolewind.DocumentSet document_set = 17;</code>
+   * @return The documentSet.
+   */
+  org.oriolewind.wire.DocumentSet getDocumentSet();
+  /**
+   * <code>.oriolewind.DocumentSet document_set = 17;</code>
+   */
+  org.oriolewind.wire.DocumentSetOrBuilder getDocumentSetOrBuilder();
+
   org.oriolewind.wire.Frame.BodyCase getBodyCase();
 }
--- a/oriolewind-wire/src/main/java/org/oriolewind/wire/Peer.java
+++ b/oriolewind-wire/src/main/java/org/oriolewind/wire/Peer.java
@@ -111,6 +111,36 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_oriolewind_CallGoAway_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_oriolewind_BackendEntry_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_oriolewind_BackendEntry_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_oriolewind_NodeStatus_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_oriolewind_NodeStatus_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_oriolewind_NodeStatus_DocumentRevisionsEntry_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_oriolewind_NodeStatus_DocumentRevisionsEntry_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_oriolewind_DocumentPull_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_oriolewind_DocumentPull_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_oriolewind_Document_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_oriolewind_Document_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_oriolewind_DocumentSet_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_oriolewind_DocumentSet_fieldAccessorTable;
 
   public static com.google.protobuf.Descriptors.FileDescriptor
       getDescriptor() {
@@ -120,7 +150,7 @@
       descriptor;
   static {
     java.lang.String[] descriptorData = {
-      "\n\npeer.proto\022\noriolewind\"\351\004\n\005Frame\022\026\n\016co" +
+      "\n\npeer.proto\022\noriolewind\"\374\005\n\005Frame\022\026\n\016co" +
       "nfig_version\030\001 \001(\004\022\023\n\013hybrid_time\030\002 \001(\004\022" +
       "\"\n\005hello\030\003 \001(\0132\021.oriolewind.HelloH\000\022&\n\007w" +
       "elcome\030\004 \001(\0132\023.oriolewind.WelcomeH\000\022(\n\010r" +
@@ -135,75 +165,106 @@
       ".CallRequestH\000\022-\n\013call_answer\030\014 \001(\0132\026.or" +
       "iolewind.CallAnswerH\000\022-\n\013call_cancel\030\r \001" +
       "(\0132\026.oriolewind.CallCancelH\000\022.\n\014call_go_" +
-      "away\030\016 \001(\0132\026.oriolewind.CallGoAwayH\000B\006\n\004" +
-      "body\"\322\001\n\006Member\022\014\n\004node\030\001 \001(\t\022\023\n\013incarna" +
-      "tion\030\002 \001(\004\022\020\n\010sequence\030\003 \001(\004\022&\n\005state\030\004 " +
-      "\001(\0162\027.oriolewind.MemberState\022\023\n\013data_cen" +
-      "tre\030\005 \001(\t\022\017\n\007service\030\006 \001(\t\022\027\n\017service_ve" +
-      "rsion\030\007 \001(\t\022\024\n\014peer_address\030\010 \001(\t\022\026\n\016cal" +
-      "ler_address\030\t \001(\t\"k\n\005Hello\022(\n\007purpose\030\001 " +
-      "\001(\0162\027.oriolewind.LinkPurpose\022 \n\004self\030\002 \001" +
-      "(\0132\022.oriolewind.Member\022\026\n\016members_digest" +
-      "\030\003 \001(\004\"R\n\007Welcome\022\014\n\004node\030\001 \001(\t\022\023\n\013incar" +
-      "nation\030\002 \001(\004\022\026\n\016members_digest\030\003 \001(\004\022\014\n\004" +
-      "path\030\004 \003(\t\"\"\n\010Redirect\022\026\n\016peer_addresses" +
-      "\030\001 \003(\t\"\201\001\n\tHeartbeat\022\026\n\016members_digest\030\001" +
-      " \001(\004\022\014\n\004path\030\002 \003(\t\022\024\n\014lead_address\030\003 \001(\t" +
-      "\022\021\n\tlead_term\030\004 \001(\004\022\017\n\007standby\030\005 \001(\t\022\024\n\014" +
-      "duty_address\030\006 \001(\t\"\265\001\n\014ConfigUpdate\022\024\n\014f" +
-      "rom_version\030\001 \001(\004\022\017\n\007version\030\002 \001(\004\022\016\n\006di" +
-      "gest\030\003 \001(\014\0220\n\004puts\030\004 \003(\0132\".oriolewind.Co" +
-      "nfigUpdate.PutsEntry\022\017\n\007removes\030\005 \003(\t\032+\n" +
-      "\tPutsEntry\022\013\n\003key\030\001 \001(\t\022\r\n\005value\030\002 \001(\t:\002" +
-      "8\001\"\"\n\nConfigPull\022\024\n\014have_version\030\001 \001(\004\"B" +
-      "\n\014MemberUpdate\022#\n\007members\030\001 \003(\0132\022.oriole" +
-      "wind.Member\022\r\n\005whole\030\002 \001(\010\"\250\001\n\rEvidenceC" +
-      "ount\022\017\n\007service\030\001 \001(\t\022\027\n\017service_version" +
-      "\030\002 \001(\t\022\r\n\005route\030\003 \001(\t\022\r\n\005calls\030\004 \001(\004\022\020\n\010" +
-      "failures\030\005 \001(\004\022\022\n\ncold_calls\030\006 \001(\004\022\020\n\010re" +
-      "fusals\030\007 \001(\004\022\027\n\017latency_buckets\030\010 \003(\r\";\n" +
-      "\016EvidenceReport\022)\n\006counts\030\001 \003(\0132\031.oriole" +
-      "wind.EvidenceCount\"%\n\006Header\022\014\n\004name\030\001 \001" +
-      "(\t\022\r\n\005value\030\002 \001(\t\"\274\002\n\013CallRequest\022\016\n\006str" +
-      "eam\030\001 \001(\004\022\017\n\007service\030\002 \001(\t\022\027\n\017service_ve" +
-      "rsion\030\003 \001(\t\022\r\n\005route\030\004 \001(\t\022\016\n\006method\030\005 \001" +
-      "(\t\022\014\n\004path\030\006 \001(\t\022#\n\007headers\030\007 \003(\0132\022.orio" +
-      "lewind.Header\022\014\n\004body\030\010 \001(\014\022\026\n\016timeout_m" +
-      "illis\030\t \001(\r\022\014\n\004hops\030\n \001(\r\022\022\n\nidempotent\030" +
-      "\013 \001(\010\022\027\n\017idempotency_key\030\014 \001(\t\022\017\n\007call_i" +
-      "d\030\r \001(\t\022/\n\rkey_operation\030\016 \001(\0162\030.oriolew" +
-      "ind.KeyOperation\"\203\002\n\nCallAnswer\022\016\n\006strea" +
-      "m\030\001 \001(\004\022(\n\007outcome\030\002 \001(\0162\027.oriolewind.Ca" +
-      "llOutcome\0220\n\016not_run_reason\030\003 \001(\0162\030.orio" +
-      "lewind.NotRunReason\022\016\n\006status\030\004 \001(\r\022#\n\007h" +
-      "eaders\030\005 \003(\0132\022.oriolewind.Header\022\014\n\004body" +
-      "\030\006 \001(\014\022\026\n\016service_micros\030\007 \001(\004\022\014\n\004cold\030\010" +
-      " \001(\010\022\r\n\005limit\030\t \001(\r\022\021\n\tin_flight\030\n \001(\r\"\034" +
-      "\n\nCallCancel\022\016\n\006stream\030\001 \001(\004\"!\n\nCallGoAw" +
-      "ay\022\023\n\013last_stream\030\001 \001(\004*\214\001\n\013LinkPurpose\022" +
-      "\034\n\030LINK_PURPOSE_UNSPECIFIED\020\000\022\026\n\022LINK_PU" +
-      "RPOSE_CHILD\020\001\022\027\n\023LINK_PURPOSE_BRIDGE\020\002\022\026" +
-      "\n\022LINK_PURPOSE_PROBE\020\003\022\026\n\022LINK_PURPOSE_C" +
-      "ALLS\020\004*q\n\013MemberState\022\034\n\030MEMBER_STATE_UN" +
-      "SPECIFIED\020\000\022\023\n\017MEMBER_STATE_UP\020\001\022\030\n\024MEMB" +
-      "ER_STATE_LEAVING\020\002\022\025\n\021MEMBER_STATE_DOWN\020" +
-      "\003*y\n\014KeyOperation\022\035\n\031KEY_OPERATION_UNSPE" +
-      "CIFIED\020\000\022\027\n\023KEY_OPERATION_CLAIM\020\001\022\031\n\025KEY" +
-      "_OPERATION_RELEASE\020\002\022\026\n\022KEY_OPERATION_DO" +
-      "NE\020\003*z\n\013CallOutcome\022\034\n\030CALL_OUTCOME_UNSP" +
-      "ECIFIED\020\000\022\031\n\025CALL_OUTCOME_ANSWERED\020\001\022\030\n\024" +
-      "CALL_OUTCOME_NOT_RUN\020\002\022\030\n\024CALL_OUTCOME_U" +
-      "NKNOWN\020\003*\362\002\n\014NotRunReason\022\036\n\032NOT_RUN_REA" +
-      "SON_UNSPECIFIED\020\000\022\035\n\031NOT_RUN_REASON_OVER" +
-      "LOADED\020\001\022\032\n\026NOT_RUN_REASON_LEAVING\020\002\022\032\n\026" +
-      "NOT_RUN_REASON_EXPIRED\020\003\022\037\n\033NOT_RUN_REAS" +
-      "ON_WRONG_TARGET\020\004\022\036\n\032NOT_RUN_REASON_UNRE" +
-      "ACHABLE\020\005\022\034\n\030NOT_RUN_REASON_CANCELLED\020\006\022" +
-      "\037\n\033NOT_RUN_REASON_KEY_CONFLICT\020\007\022\"\n\036NOT_" +
-      "RUN_REASON_DATA_CENTRE_OUT\020\010\022%\n!NOT_RUN_" +
-      "REASON_REFUSED_BY_BACKEND\020\t\022 \n\034NOT_RUN_R" +
-      "EASON_KEY_UNSETTLED\020\nB\027\n\023org.oriolewind." +
-      "wireP\001b\006proto3"
+      "away\030\016 \001(\0132\026.oriolewind.CallGoAwayH\000\022-\n\013" +
+      "node_status\030\017 \001(\0132\026.oriolewind.NodeStatu" +
+      "sH\000\0221\n\rdocument_pull\030\020 \001(\0132\030.oriolewind." +
+      "DocumentPullH\000\022/\n\014document_set\030\021 \001(\0132\027.o" +
+      "riolewind.DocumentSetH\000B\006\n\004body\"\322\001\n\006Memb" +
+      "er\022\014\n\004node\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\004\022\020\n" +
+      "\010sequence\030\003 \001(\004\022&\n\005state\030\004 \001(\0162\027.oriolew" +
+      "ind.MemberState\022\023\n\013data_centre\030\005 \001(\t\022\017\n\007" +
+      "service\030\006 \001(\t\022\027\n\017service_version\030\007 \001(\t\022\024" +
+      "\n\014peer_address\030\010 \001(\t\022\026\n\016caller_address\030\t" +
+      " \001(\t\"k\n\005Hello\022(\n\007purpose\030\001 \001(\0162\027.oriolew" +
+      "ind.LinkPurpose\022 \n\004self\030\002 \001(\0132\022.oriolewi" +
+      "nd.Member\022\026\n\016members_digest\030\003 \001(\004\"R\n\007Wel" +
+      "come\022\014\n\004node\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\004\022" +
+      "\026\n\016members_digest\030\003 \001(\004\022\014\n\004path\030\004 \003(\t\"\"\n" +
+      "\010Redirect\022\026\n\016peer_addresses\030\001 \003(\t\"\201\001\n\tHe" +
+      "artbeat\022\026\n\016members_digest\030\001 \001(\004\022\014\n\004path\030" +
+      "\002 \003(\t\022\024\n\014lead_address\030\003 \001(\t\022\021\n\tlead_term" +
+      "\030\004 \001(\004\022\017\n\007standby\030\005 \001(\t\022\024\n\014duty_address\030" +
+      "\006 \001(\t\"\265\001\n\014ConfigUpdate\022\024\n\014from_version\030\001" +
+      " \001(\004\022\017\n\007version\030\002 \001(\004\022\016\n\006digest\030\003 \001(\014\0220\n" +
+      "\004puts\030\004 \003(\0132\".oriolewind.ConfigUpdate.Pu" +
+      "tsEntry\022\017\n\007removes\030\005 \003(\t\032+\n\tPutsEntry\022\013\n" +
+      "\003key\030\001 \001(\t\022\r\n\005value\030\002 \001(\t:\0028\001\"\"\n\nConfigP" +
+      "ull\022\024\n\014have_version\030\001 \001(\004\"B\n\014MemberUpdat" +
+      "e\022#\n\007members\030\001 \003(\0132\022.oriolewind.Member\022\r" +
+      "\n\005whole\030\002 \001(\010\"\250\001\n\rEvidenceCount\022\017\n\007servi" +
+      "ce\030\001 \001(\t\022\027\n\017service_version\030\002 \001(\t\022\r\n\005rou" +
+      "te\030\003 \001(\t\022\r\n\005calls\030\004 \001(\004\022\020\n\010failures\030\005 \001(" +
+      "\004\022\022\n\ncold_calls\030\006 \001(\004\022\020\n\010refusals\030\007 \001(\004\022" +
+      "\027\n\017latency_buckets\030\010 \003(\r\";\n\016EvidenceRepo" +
+      "rt\022)\n\006counts\030\001 \003(\0132\031.oriolewind.Evidence" +
+      "Count\"%\n\006Header\022\014\n\004name\030\001 \001(\t\022\r\n\005value\030\002" +
+      " \001(\t\"\243\003\n\013CallRequest\022\016\n\006stream\030\001 \001(\004\022\017\n\007" +
+      "service\030\002 \001(\t\022\027\n\017service_version\030\003 \001(\t\022\r" +
+      "\n\005route\030\004 \001(\t\022\016\n\006method\030\005 \001(\t\022\014\n\004path\030\006 " +
+      "\001(\t\022#\n\007headers\030\007 \003(\0132\022.oriolewind.Header" +
+      "\022\014\n\004body\030\010 \001(\014\022\026\n\016timeout_millis\030\t \001(\r\022\014" +
+      "\n\004hops\030\n \001(\r\022\022\n\nidempotent\030\013 \001(\010\022\027\n\017idem" +
+      "potency_key\030\014 \001(\t\022\017\n\007call_id\030\r \001(\t\022/\n\rke" +
+      "y_operation\030\016 \001(\0162\030.oriolewind.KeyOperat" +
+      "ion\022\027\n\017target_instance\030\017 \001(\t\022\022\n\naim_mill" +
+      "is\030\020 \001(\r\022\016\n\006nested\030\021 \001(\010\022\026\n\016caller_servi" +
+      "ce\030\022 \001(\t\022\020\n\010priority\030\023 \001(\r\"\274\002\n\nCallAnswe" +
+      "r\022\016\n\006stream\030\001 \001(\004\022(\n\007outcome\030\002 \001(\0162\027.ori" +
+      "olewind.CallOutcome\0220\n\016not_run_reason\030\003 " +
+      "\001(\0162\030.oriolewind.NotRunReason\022\016\n\006status\030" +
+      "\004 \001(\r\022#\n\007headers\030\005 \003(\0132\022.oriolewind.Head" +
+      "er\022\014\n\004body\030\006 \001(\014\022\026\n\016service_micros\030\007 \001(\004" +
+      "\022\014\n\004cold\030\010 \001(\010\022\r\n\005limit\030\t \001(\r\022\021\n\tin_flig" +
+      "ht\030\n \001(\r\022\032\n\022retry_after_millis\030\013 \001(\r\022\033\n\023" +
+      "mean_service_micros\030\014 \001(\004\"\034\n\nCallCancel\022" +
+      "\016\n\006stream\030\001 \001(\004\"!\n\nCallGoAway\022\023\n\013last_st" +
+      "ream\030\001 \001(\004\"\247\001\n\014BackendEntry\022\023\n\013instance_" +
+      "id\030\001 \001(\t\022\023\n\013born_millis\030\002 \001(\004\022\017\n\007service" +
+      "\030\003 \001(\t\022\017\n\007version\030\004 \001(\t\022\'\n\005phase\030\005 \001(\0162\030" +
+      ".oriolewind.BackendPhase\022\r\n\005slots\030\006 \001(\r\022" +
+      "\023\n\013cold_millis\030\007 \001(\r\"\267\003\n\nNodeStatus\022\014\n\004n" +
+      "ode\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\004\022\020\n\010sequen" +
+      "ce\030\003 \001(\004\022\023\n\013data_centre\030\004 \001(\t\022\024\n\014peer_ad" +
+      "dress\030\005 \001(\t\022)\n\007backend\030\006 \001(\0132\030.oriolewin" +
+      "d.BackendEntry\022\r\n\005limit\030\007 \001(\r\022\021\n\tin_flig" +
+      "ht\030\010 \001(\r\022\033\n\023mean_service_micros\030\t \001(\004\022\030\n" +
+      "\020failure_permille\030\n \001(\r\022\017\n\007leaving\030\013 \001(\010" +
+      "\022I\n\022document_revisions\030\014 \003(\0132-.oriolewin" +
+      "d.NodeStatus.DocumentRevisionsEntry\022/\n\014t" +
+      "rial_counts\030\r \003(\0132\031.oriolewind.EvidenceC" +
+      "ount\0328\n\026DocumentRevisionsEntry\022\013\n\003key\030\001 " +
+      "\001(\t\022\r\n\005value\030\002 \001(\004:\0028\001\"\035\n\014DocumentPull\022\r" +
+      "\n\005kinds\030\001 \003(\t\";\n\010Document\022\014\n\004name\030\001 \001(\t\022" +
+      "\020\n\010revision\030\002 \001(\004\022\017\n\007content\030\003 \001(\014\"\\\n\013Do" +
+      "cumentSet\022\014\n\004kind\030\001 \001(\t\022\026\n\016as_of_revisio" +
+      "n\030\002 \001(\004\022\'\n\tdocuments\030\003 \003(\0132\024.oriolewind." +
+      "Document*\214\001\n\013LinkPurpose\022\034\n\030LINK_PURPOSE" +
+      "_UNSPECIFIED\020\000\022\026\n\022LINK_PURPOSE_CHILD\020\001\022\027" +
+      "\n\023LINK_PURPOSE_BRIDGE\020\002\022\026\n\022LINK_PURPOSE_" +
+      "PROBE\020\003\022\026\n\022LINK_PURPOSE_CALLS\020\004*q\n\013Membe" +
+      "rState\022\034\n\030MEMBER_STATE_UNSPECIFIED\020\000\022\023\n\017" +
+      "MEMBER_STATE_UP\020\001\022\030\n\024MEMBER_STATE_LEAVIN" +
+      "G\020\002\022\025\n\021MEMBER_STATE_DOWN\020\003*y\n\014KeyOperati" +
+      "on\022\035\n\031KEY_OPERATION_UNSPECIFIED\020\000\022\027\n\023KEY" +
+      "_OPERATION_CLAIM\020\001\022\031\n\025KEY_OPERATION_RELE" +
+      "ASE\020\002\022\026\n\022KEY_OPERATION_DONE\020\003*z\n\013CallOut" +
+      "come\022\034\n\030CALL_OUTCOME_UNSPECIFIED\020\000\022\031\n\025CA" +
+      "LL_OUTCOME_ANSWERED\020\001\022\030\n\024CALL_OUTCOME_NO" +
+      "T_RUN\020\002\022\030\n\024CALL_OUTCOME_UNKNOWN\020\003*\362\002\n\014No" +
+      "tRunReason\022\036\n\032NOT_RUN_REASON_UNSPECIFIED" +
+      "\020\000\022\035\n\031NOT_RUN_REASON_OVERLOADED\020\001\022\032\n\026NOT" +
+      "_RUN_REASON_LEAVING\020\002\022\032\n\026NOT_RUN_REASON_" +
+      "EXPIRED\020\003\022\037\n\033NOT_RUN_REASON_WRONG_TARGET" +
+      "\020\004\022\036\n\032NOT_RUN_REASON_UNREACHABLE\020\005\022\034\n\030NO" +
+      "T_RUN_REASON_CANCELLED\020\006\022\037\n\033NOT_RUN_REAS" +
+      "ON_KEY_CONFLICT\020\007\022\"\n\036NOT_RUN_REASON_DATA" +
+      "_CENTRE_OUT\020\010\022%\n!NOT_RUN_REASON_REFUSED_" +
+      "BY_BACKEND\020\t\022 \n\034NOT_RUN_REASON_KEY_UNSET" +
+      "TLED\020\n*z\n\014BackendPhase\022\035\n\031BACKEND_PHASE_" +
+      "UNSPECIFIED\020\000\022\027\n\023BACKEND_PHASE_READY\020\001\022\032" +
+      "\n\026BACKEND_PHASE_DRAINING\020\002\022\026\n\022BACKEND_PH" +
+      "ASE_GONE\020\003B\027\n\023org.oriolewind.wireP\001b\006pro" +
+      "to3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -214,7 +275,7 @@
     internal_static_oriolewind_Frame_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_oriolewind_Frame_descriptor,
-        new java.lang.String[] { "ConfigVersion", "HybridTime", "Hello", "Welcome", "Redirect", "Heartbeat", "ConfigUpdate", "ConfigPull", "MemberUpdate", "EvidenceReport", "CallRequest", "CallAnswer", "CallCancel", "CallGoAway", "Body", });
+        new java.lang.String[] { "ConfigVersion", "HybridTime", "Hello", "Welcome", "Redirect", "Heartbeat", "ConfigUpdate", "ConfigPull", "MemberUpdate", "EvidenceReport", "CallRequest", "CallAnswer", "CallCancel", "CallGoAway", "NodeStatus", "DocumentPull", "DocumentSet", "Body", });
     internal_static_oriolewind_Member_descriptor =
       getDescriptor().getMessageType(1);
     internal_static_oriolewind_Member_fieldAccessorTable = new
@@ -292,13 +353,13 @@
     internal_static_oriolewind_CallRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_oriolewind_CallRequest_descriptor,
-        new java.lang.String[] { "Stream", "Service", "ServiceVersion", "Route", "Method", "Path", "Headers", "Body", "TimeoutMillis", "Hops", "Idempotent", "IdempotencyKey", "CallId", "KeyOperation", });
+        new java.lang.String[] { "Stream", "Service", "ServiceVersion", "Route", "Method", "Path", "Headers", "Body", "TimeoutMillis", "Hops", "Idempotent", "IdempotencyKey", "CallId", "KeyOperation", "TargetInstance", "AimMillis", "Nested", "CallerService", "Priority", });
     internal_static_oriolewind_CallAnswer_descriptor =
       getDescriptor().getMessageType(13);
     internal_static_oriolewind_CallAnswer_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_oriolewind_CallAnswer_descriptor,
-        new java.lang.String[] { "Stream", "Outcome", "NotRunReason", "Status", "Headers", "Body", "ServiceMicros", "Cold", "Limit", "InFlight", });
+        new java.lang.String[] { "Stream", "Outcome", "NotRunReason", "Status", "Headers", "Body", "ServiceMicros", "Cold", "Limit", "InFlight", "RetryAfterMillis", "MeanServiceMicros", });
     internal_static_oriolewind_CallCancel_descriptor =
       getDescriptor().getMessageType(14);
     internal_static_oriolewind_CallCancel_fieldAccessorTable = new
@@ -311,6 +372,42 @@
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_oriolewind_CallGoAway_descriptor,
         new java.lang.String[] { "LastStream", });
+    internal_static_oriolewind_BackendEntry_descriptor =
+      getDescriptor().getMessageType(16);
+    internal_static_oriolewind_BackendEntry_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_oriolewind_BackendEntry_descriptor,
+        new java.lang.String[] { "InstanceId", "BornMillis", "Service", "Version", "Phase", "Slots", "ColdMillis", });
+    internal_static_oriolewind_NodeStatus_descriptor =
+      getDescriptor().getMessageType(17);
+    internal_static_oriolewind_NodeStatus_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_oriolewind_NodeStatus_descriptor,
+        new java.lang.String[] { "Node", "Incarnation", "Sequence", "DataCentre", "PeerAddress", "Backend", "Limit", "InFlight", "MeanServiceMicros", "FailurePermille", "Leaving", "DocumentRevisions", "TrialCounts", });
+    internal_static_oriolewind_NodeStatus_DocumentRevisionsEntry_descriptor =
+      internal_static_oriolewind_NodeStatus_descriptor.getNestedType(0);
+    internal_static_oriolewind_NodeStatus_DocumentRevisionsEntry_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_oriolewind_NodeStatus_DocumentRevisionsEntry_descriptor,
+        new java.lang.String[] { "Key", "Value", });
+    internal_static_oriolewind_DocumentPull_descriptor =
+      getDescriptor().getMessageType(18);
+    internal_static_oriolewind_DocumentPull_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_oriolewind_DocumentPull_descriptor,
+        new java.lang.String[] { "Kinds", });
+    internal_static_oriolewind_Document_descriptor =
+      getDescriptor().getMessageType(19);
+    internal_static_oriolewind_Document_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_oriolewind_Document_descriptor,
+        new java.lang.String[] { "Name", "Revision", "Content", });
+    internal_static_oriolewind_DocumentSet_descriptor =
+      getDescriptor().getMessageType(20);
+    internal_static_oriolewind_DocumentSet_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_oriolewind_DocumentSet_descriptor,
+        new java.lang.String[] { "Kind", "AsOfRevision", "Documents", });
     descriptor.resolveAllFeaturesImmutable();
   }
 
