--- a/oriolewind-core/src/main/java/org/oriolewind/backend/BackendCall.java
+++ b/oriolewind-core/src/main/java/org/oriolewind/backend/BackendCall.java
@@ -58,8 +58,8 @@
     }
 
     @Override
-    public boolean isNested() {
-        return mRequest.getNested();
+    public int priority() {
+        return mRequest.getPriority();
     }
 
     @Override
--- a/oriolewind-core/src/main/java/org/oriolewind/backend/GatedCall.java
+++ b/oriolewind-core/src/main/java/org/oriolewind/backend/GatedCall.java
@@ -26,11 +26,11 @@
     long aimMillis();
 
     /**
-     * Returns whether a backend server waits for the call to finish work already begun.
+     * Returns the rank of the call's route.
      *
-     * @return true for a call made while another one runs
+     * @return the rank, 0 is the highest
      */
-    boolean isNested();
+    int priority();
 
     /** The call may be handed to the backend server; {@link BackendGate#leave} has to follow. */
     void onAdmitted();
--- a/oriolewind-core/src/main/java/org/oriolewind/dispatch/ClientRequest.java
+++ b/oriolewind-core/src/main/java/org/oriolewind/dispatch/ClientRequest.java
@@ -16,7 +16,6 @@
  * @param headers the headers to pass on
  * @param body the whole body
  * @param timeLeftMillis time for which the client waits, if it says
- * @param nested whether the backend server beside this node made it
  */
 public record ClientRequest(
         String id,
@@ -26,5 +25,4 @@
         String target,
         List<Header> headers,
         ByteString body,
-        OptionalLong timeLeftMillis,
-        boolean nested) {}
+        OptionalLong timeLeftMillis) {}
--- a/oriolewind-core/src/main/java/org/oriolewind/dispatch/DispatchContext.java
+++ b/oriolewind-core/src/main/java/org/oriolewind/dispatch/DispatchContext.java
@@ -1,5 +1,6 @@
 package org.oriolewind.dispatch;
 
+import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 import org.oriolewind.placement.Placement;
 import org.oriolewind.placement.RepeatBudget;
@@ -30,7 +31,7 @@
  */
 public record DispatchContext(
         String node,
-        String callerService,
+        Supplier<String> callerService,
         NodeClock clock,
         Timers timers,
         RandomGenerator random,
--- a/oriolewind-core/src/main/java/org/oriolewind/dispatch/RoutedRequest.java
+++ b/oriolewind-core/src/main/java/org/oriolewind/dispatch/RoutedRequest.java
@@ -31,6 +31,9 @@
     /** Refusals by gates after which a request is refused: each costs a round trip. */
     private static final int MAX_REFUSALS = 4;
 
+    /** Failures of a backend server above which nothing is repeated there, in thousandths. */
+    private static final int MAX_REPEAT_FAILURE_PERMILLE = 200;
+
     /** Wait that is told when no backend server takes calls: a heartbeat brings the next one. */
     private static final long NO_BACKEND_RETRY_MILLIS = 400;
 
@@ -166,8 +169,7 @@
                 .setAimMillis((int) Math.max(0, aimLeftMillis()))
                 .setIdempotent(mRoute.kind().mayRunAgain())
                 .setCallId(mRequest.id())
-                .setNested(mRequest.nested())
-                .setCallerService(mContext.callerService())
+                .setCallerService(mContext.callerService().get())
                 .setPriority(mRoute.priority())
                 .build();
     }
@@ -214,14 +216,19 @@
                 answer.getStatus(), answer.getHeadersList(), answer.getBody());
     }
 
+    /** A repeat is worth it only where it is likelier to succeed than not. */
     private boolean mayRepeat() {
         return mRoute.kind().mayRunAgain()
                 && mHandedOver < mRoute.maxAttempts()
                 && timeLeftMillis() > 0
-                && chooseTarget().isPresent()
+                && chooseTarget().filter(RoutedRequest::isSound).isPresent()
                 && mContext.budget().tryRepeat(mService);
     }
 
+    private static boolean isSound(FleetMember member) {
+        return member.status().getFailurePermille() <= MAX_REPEAT_FAILURE_PERMILLE;
+    }
+
     private void onRefusal(FleetMember member, CallAnswer answer) {
         NotRunReason reason = answer.getNotRunReason();
         mLatestRefusal = reason;
@@ -241,6 +248,7 @@
                     // A refusal by the backend server itself is an arrival there.
                     case NOT_RUN_REASON_REFUSED_BY_BACKEND ->
                             ++mHandedOver < mRoute.maxAttempts()
+                                    && chooseTarget().filter(RoutedRequest::isSound).isPresent()
                                     && mContext.budget().tryRepeat(mService);
                     default -> mRefusals < MAX_REFUSALS;
                 };
--- a/oriolewind-core/src/main/java/org/oriolewind/placement/RepeatBudget.java
+++ b/oriolewind-core/src/main/java/org/oriolewind/placement/RepeatBudget.java
@@ -11,8 +11,11 @@
  * safe for use by several threads.
  */
 public final class RepeatBudget {
-    /** Part of the bound that is used: other nodes' knowledge and windows differ from ours. */
-    private static final double USED_PART = 0.6;
+    /**
+     * Part of the bound that is used. A repeat makes its nested calls again, which count as repeats
+     * where they arrive, and other nodes' knowledge and windows differ from ours.
+     */
+    private static final double USED_PART = 0.4;
 
     private static final int SLICES = 10;
 
--- a/oriolewind-wire/src/main/java/org/oriolewind/wire/CallRequest.java
+++ b/oriolewind-wire/src/main/java/org/oriolewind/wire/CallRequest.java
@@ -519,22 +519,7 @@
     return aimMillis_;
   }
 
-  public static final int NESTED_FIELD_NUMBER = 17;
-  private boolean nested_ = false;
-  /**
-   * <pre>
-   * Set on calls that a backend server makes while it runs another.
-   * </pre>
-   *
-   * <code>bool nested = 17;</code>
-   * @return The nested.
-   */
-  @java.lang.Override
-  public boolean getNested() {
-    return nested_;
-  }
-
-  public static final int CALLER_SERVICE_FIELD_NUMBER = 18;
+  public static final int CALLER_SERVICE_FIELD_NUMBER = 17;
   @SuppressWarnings("serial")
   private volatile java.lang.Object callerService_ = "";
   /**
@@ -542,7 +527,7 @@
    * Name of the service beside the node that took the call.
    * </pre>
    *
-   * <code>string caller_service = 18;</code>
+   * <code>string caller_service = 17;</code>
    * @return The callerService.
    */
   @java.lang.Override
@@ -563,7 +548,7 @@
    * Name of the service beside the node that took the call.
    * </pre>
    *
-   * <code>string caller_service = 18;</code>
+   * <code>string caller_service = 17;</code>
    * @return The bytes for callerService.
    */
   @java.lang.Override
@@ -581,14 +566,14 @@
     }
   }
 
-  public static final int PRIORITY_FIELD_NUMBER = 19;
+  public static final int PRIORITY_FIELD_NUMBER = 18;
   private int priority_ = 0;
   /**
    * <pre>
    * Rank of the route; 0 is the highest.
    * </pre>
    *
-   * <code>uint32 priority = 19;</code>
+   * <code>uint32 priority = 18;</code>
    * @return The priority.
    */
   @java.lang.Override
@@ -658,14 +643,11 @@
     if (aimMillis_ != 0) {
       output.writeUInt32(16, aimMillis_);
     }
-    if (nested_ != false) {
-      output.writeBool(17, nested_);
-    }
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(callerService_)) {
-      com.google.protobuf.GeneratedMessage.writeString(output, 18, callerService_);
+      com.google.protobuf.GeneratedMessage.writeString(output, 17, callerService_);
     }
     if (priority_ != 0) {
-      output.writeUInt32(19, priority_);
+      output.writeUInt32(18, priority_);
     }
     getUnknownFields().writeTo(output);
   }
@@ -732,16 +714,12 @@
       size += com.google.protobuf.CodedOutputStream
         .computeUInt32Size(16, aimMillis_);
     }
-    if (nested_ != false) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeBoolSize(17, nested_);
-    }
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(callerService_)) {
-      size += com.google.protobuf.GeneratedMessage.computeStringSize(18, callerService_);
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(17, callerService_);
     }
     if (priority_ != 0) {
       size += com.google.protobuf.CodedOutputStream
-        .computeUInt32Size(19, priority_);
+        .computeUInt32Size(18, priority_);
     }
     return size;
   }
@@ -798,8 +776,6 @@
         .equals(other.getTargetInstance())) return false;
     if (getAimMillis()
         != other.getAimMillis()) return false;
-    if (getNested()
-        != other.getNested()) return false;
     if (!getCallerService()
         .equals(other.getCallerService())) return false;
     if (getPriority()
@@ -851,9 +827,6 @@
     hash = (53 * hash) + getTargetInstance().hashCode();
     hash = (37 * hash) + AIM_MILLIS_FIELD_NUMBER;
     hash = (53 * hash) + getAimMillis();
-    hash = (37 * hash) + NESTED_FIELD_NUMBER;
-    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
-        getNested());
     hash = (37 * hash) + CALLER_SERVICE_FIELD_NUMBER;
     hash = (53 * hash) + getCallerService().hashCode();
     hash = (37 * hash) + PRIORITY_FIELD_NUMBER;
@@ -1011,7 +984,6 @@
       keyOperation_ = 0;
       targetInstance_ = "";
       aimMillis_ = 0;
-      nested_ = false;
       callerService_ = "";
       priority_ = 0;
       return this;
@@ -1106,12 +1078,9 @@
         result.aimMillis_ = aimMillis_;
       }
       if (((from_bitField0_ & 0x00010000) != 0)) {
-        result.nested_ = nested_;
-      }
-      if (((from_bitField0_ & 0x00020000) != 0)) {
         result.callerService_ = callerService_;
       }
-      if (((from_bitField0_ & 0x00040000) != 0)) {
+      if (((from_bitField0_ & 0x00020000) != 0)) {
         result.priority_ = priority_;
       }
     }
@@ -1215,12 +1184,9 @@
       if (other.getAimMillis() != 0) {
         setAimMillis(other.getAimMillis());
       }
-      if (other.getNested() != false) {
-        setNested(other.getNested());
-      }
       if (!other.getCallerService().isEmpty()) {
         callerService_ = other.callerService_;
-        bitField0_ |= 0x00020000;
+        bitField0_ |= 0x00010000;
         onChanged();
       }
       if (other.getPriority() != 0) {
@@ -1338,21 +1304,16 @@
               bitField0_ |= 0x00008000;
               break;
             } // case 128
-            case 136: {
-              nested_ = input.readBool();
-              bitField0_ |= 0x00010000;
-              break;
-            } // case 136
-            case 146: {
+            case 138: {
               callerService_ = input.readStringRequireUtf8();
-              bitField0_ |= 0x00020000;
+              bitField0_ |= 0x00010000;
               break;
-            } // case 146
-            case 152: {
+            } // case 138
+            case 144: {
               priority_ = input.readUInt32();
-              bitField0_ |= 0x00040000;
+              bitField0_ |= 0x00020000;
               break;
-            } // case 152
+            } // case 144
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -2481,57 +2442,13 @@
       return this;
     }
 
-    private boolean nested_ ;
-    /**
-     * <pre>
-     * Set on calls that a backend server makes while it runs another.
-     * </pre>
-     *
-     * <code>bool nested = 17;</code>
-     * @return The nested.
-     */
-    @java.lang.Override
-    public boolean getNested() {
-      return nested_;
-    }
-    /**
-     * <pre>
-     * Set on calls that a backend server makes while it runs another.
-     * </pre>
-     *
-     * <code>bool nested = 17;</code>
-     * @param value The nested to set.
-     * @return This builder for chaining.
-     */
-    public Builder setNested(boolean value) {
-
-      nested_ = value;
-      bitField0_ |= 0x00010000;
-      onChanged();
-      return this;
-    }
-    /**
-     * <pre>
-     * Set on calls that a backend server makes while it runs another.
-     * </pre>
-     *
-     * <code>bool nested = 17;</code>
-     * @return This builder for chaining.
-     */
-    public Builder clearNested() {
-      bitField0_ = (bitField0_ & ~0x00010000);
-      nested_ = false;
-      onChanged();
-      return this;
-    }
-
     private java.lang.Object callerService_ = "";
     /**
      * <pre>
      * Name of the service beside the node that took the call.
      * </pre>
      *
-     * <code>string caller_service = 18;</code>
+     * <code>string caller_service = 17;</code>
      * @return The callerService.
      */
     public java.lang.String getCallerService() {
@@ -2551,7 +2468,7 @@
      * Name of the service beside the node that took the call.
      * </pre>
      *
-     * <code>string caller_service = 18;</code>
+     * <code>string caller_service = 17;</code>
      * @return The bytes for callerService.
      */
     public com.google.protobuf.ByteString
@@ -2572,7 +2489,7 @@
      * Name of the service beside the node that took the call.
      * </pre>
      *
-     * <code>string caller_service = 18;</code>
+     * <code>string caller_service = 17;</code>
      * @param value The callerService to set.
      * @return This builder for chaining.
      */
@@ -2580,7 +2497,7 @@
         java.lang.String value) {
       java.util.Objects.requireNonNull(value);
       callerService_ = value;
-      bitField0_ |= 0x00020000;
+      bitField0_ |= 0x00010000;
       onChanged();
       return this;
     }
@@ -2589,12 +2506,12 @@
      * Name of the service beside the node that took the call.
      * </pre>
      *
-     * <code>string caller_service = 18;</code>
+     * <code>string caller_service = 17;</code>
      * @return This builder for chaining.
      */
     public Builder clearCallerService() {
       callerService_ = getDefaultInstance().getCallerService();
-      bitField0_ = (bitField0_ & ~0x00020000);
+      bitField0_ = (bitField0_ & ~0x00010000);
       onChanged();
       return this;
     }
@@ -2603,7 +2520,7 @@
      * Name of the service beside the node that took the call.
      * </pre>
      *
-     * <code>string caller_service = 18;</code>
+     * <code>string caller_service = 17;</code>
      * @param value The bytes for callerService to set.
      * @return This builder for chaining.
      */
@@ -2612,7 +2529,7 @@
       java.util.Objects.requireNonNull(value);
       checkByteStringIsUtf8(value);
       callerService_ = value;
-      bitField0_ |= 0x00020000;
+      bitField0_ |= 0x00010000;
       onChanged();
       return this;
     }
@@ -2623,7 +2540,7 @@
      * Rank of the route; 0 is the highest.
      * </pre>
      *
-     * <code>uint32 priority = 19;</code>
+     * <code>uint32 priority = 18;</code>
      * @return The priority.
      */
     @java.lang.Override
@@ -2635,14 +2552,14 @@
      * Rank of the route; 0 is the highest.
      * </pre>
      *
-     * <code>uint32 priority = 19;</code>
+     * <code>uint32 priority = 18;</code>
      * @param value The priority to set.
      * @return This builder for chaining.
      */
     public Builder setPriority(int value) {
 
       priority_ = value;
-      bitField0_ |= 0x00040000;
+      bitField0_ |= 0x00020000;
       onChanged();
       return this;
     }
@@ -2651,11 +2568,11 @@
      * Rank of the route; 0 is the highest.
      * </pre>
      *
-     * <code>uint32 priority = 19;</code>
+     * <code>uint32 priority = 18;</code>
      * @return This builder for chaining.
      */
     public Builder clearPriority() {
-      bitField0_ = (bitField0_ & ~0x00040000);
+      bitField0_ = (bitField0_ & ~0x00020000);
       priority_ = 0;
       onChanged();
       return this;
--- a/oriolewind-wire/src/main/java/org/oriolewind/wire/CallRequestOrBuilder.java
+++ b/oriolewind-wire/src/main/java/org/oriolewind/wire/CallRequestOrBuilder.java
@@ -199,22 +199,12 @@
    */
   int getAimMillis();
 
-  /**
-   * <pre>
-   * Set on calls that a backend server makes while it runs another.
-   * </pre>
-   *
-   * <code>bool nested = 17;</code>
-   * @return The nested.
-   */
-  boolean getNested();
-
   /**
    * <pre>
    * Name of the service beside the node that took the call.
    * </pre>
    *
-   * <code>string caller_service = 18;</code>
+   * <code>string caller_service = 17;</code>
    * @return The callerService.
    */
   java.lang.String getCallerService();
@@ -223,7 +213,7 @@
    * Name of the service beside the node that took the call.
    * </pre>
    *
-   * <code>string caller_service = 18;</code>
+   * <code>string caller_service = 17;</code>
    * @return The bytes for callerService.
    */
   com.google.protobuf.ByteString
@@ -234,7 +224,7 @@
    * Rank of the route; 0 is the highest.
    * </pre>
    *
-   * <code>uint32 priority = 19;</code>
+   * <code>uint32 priority = 18;</code>
    * @return The priority.
    */
   int getPriority();
--- a/oriolewind-wire/src/main/java/org/oriolewind/wire/Peer.java
+++ b/oriolewind-wire/src/main/java/org/oriolewind/wire/Peer.java
@@ -198,7 +198,7 @@
       "\027\n\017latency_buckets\030\010 \003(\r\";\n\016EvidenceRepo" +
       "rt\022)\n\006counts\030\001 \003(\0132\031.oriolewind.Evidence" +
       "Count\"%\n\006Header\022\014\n\004name\030\001 \001(\t\022\r\n\005value\030\002" +
-      " \001(\t\"\243\003\n\013CallRequest\022\016\n\006stream\030\001 \001(\004\022\017\n\007" +
+      " \001(\t\"\223\003\n\013CallRequest\022\016\n\006stream\030\001 \001(\004\022\017\n\007" +
       "service\030\002 \001(\t\022\027\n\017service_version\030\003 \001(\t\022\r" +
       "\n\005route\030\004 \001(\t\022\016\n\006method\030\005 \001(\t\022\014\n\004path\030\006 " +
       "\001(\t\022#\n\007headers\030\007 \003(\0132\022.oriolewind.Header" +
@@ -207,64 +207,63 @@
       "potency_key\030\014 \001(\t\022\017\n\007call_id\030\r \001(\t\022/\n\rke" +
       "y_operation\030\016 \001(\0162\030.oriolewind.KeyOperat" +
       "ion\022\027\n\017target_instance\030\017 \001(\t\022\022\n\naim_mill" +
-      "is\030\020 \001(\r\022\016\n\006nested\030\021 \001(\010\022\026\n\016caller_servi" +
-      "ce\030\022 \001(\t\022\020\n\010priority\030\023 \001(\r\"\274\002\n\nCallAnswe" +
-      "r\022\016\n\006stream\030\001 \001(\004\022(\n\007outcome\030\002 \001(\0162\027.ori" +
-      "olewind.CallOutcome\0220\n\016not_run_reason\030\003 " +
-      "\001(\0162\030.oriolewind.NotRunReason\022\016\n\006status\030" +
-      "\004 \001(\r\022#\n\007headers\030\005 \003(\0132\022.oriolewind.Head" +
-      "er\022\014\n\004body\030\006 \001(\014\022\026\n\016service_micros\030\007 \001(\004" +
-      "\022\014\n\004cold\030\010 \001(\010\022\r\n\005limit\030\t \001(\r\022\021\n\tin_flig" +
-      "ht\030\n \001(\r\022\032\n\022retry_after_millis\030\013 \001(\r\022\033\n\023" +
-      "mean_service_micros\030\014 \001(\004\"\034\n\nCallCancel\022" +
-      "\016\n\006stream\030\001 \001(\004\"!\n\nCallGoAway\022\023\n\013last_st" +
-      "ream\030\001 \001(\004\"\247\001\n\014BackendEntry\022\023\n\013instance_" +
-      "id\030\001 \001(\t\022\023\n\013born_millis\030\002 \001(\004\022\017\n\007service" +
-      "\030\003 \001(\t\022\017\n\007version\030\004 \001(\t\022\'\n\005phase\030\005 \001(\0162\030" +
-      ".oriolewind.BackendPhase\022\r\n\005slots\030\006 \001(\r\022" +
-      "\023\n\013cold_millis\030\007 \001(\r\"\267\003\n\nNodeStatus\022\014\n\004n" +
-      "ode\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\004\022\020\n\010sequen" +
-      "ce\030\003 \001(\004\022\023\n\013data_centre\030\004 \001(\t\022\024\n\014peer_ad" +
-      "dress\030\005 \001(\t\022)\n\007backend\030\006 \001(\0132\030.oriolewin" +
-      "d.BackendEntry\022\r\n\005limit\030\007 \001(\r\022\021\n\tin_flig" +
-      "ht\030\010 \001(\r\022\033\n\023mean_service_micros\030\t \001(\004\022\030\n" +
-      "\020failure_permille\030\n \001(\r\022\017\n\007leaving\030\013 \001(\010" +
-      "\022I\n\022document_revisions\030\014 \003(\0132-.oriolewin" +
-      "d.NodeStatus.DocumentRevisionsEntry\022/\n\014t" +
-      "rial_counts\030\r \003(\0132\031.oriolewind.EvidenceC" +
-      "ount\0328\n\026DocumentRevisionsEntry\022\013\n\003key\030\001 " +
-      "\001(\t\022\r\n\005value\030\002 \001(\004:\0028\001\"\035\n\014DocumentPull\022\r" +
-      "\n\005kinds\030\001 \003(\t\";\n\010Document\022\014\n\004name\030\001 \001(\t\022" +
-      "\020\n\010revision\030\002 \001(\004\022\017\n\007content\030\003 \001(\014\"\\\n\013Do" +
-      "cumentSet\022\014\n\004kind\030\001 \001(\t\022\026\n\016as_of_revisio" +
-      "n\030\002 \001(\004\022\'\n\tdocuments\030\003 \003(\0132\024.oriolewind." +
-      "Document*\214\001\n\013LinkPurpose\022\034\n\030LINK_PURPOSE" +
-      "_UNSPECIFIED\020\000\022\026\n\022LINK_PURPOSE_CHILD\020\001\022\027" +
-      "\n\023LINK_PURPOSE_BRIDGE\020\002\022\026\n\022LINK_PURPOSE_" +
-      "PROBE\020\003\022\026\n\022LINK_PURPOSE_CALLS\020\004*q\n\013Membe" +
-      "rState\022\034\n\030MEMBER_STATE_UNSPECIFIED\020\000\022\023\n\017" +
-      "MEMBER_STATE_UP\020\001\022\030\n\024MEMBER_STATE_LEAVIN" +
-      "G\020\002\022\025\n\021MEMBER_STATE_DOWN\020\003*y\n\014KeyOperati" +
-      "on\022\035\n\031KEY_OPERATION_UNSPECIFIED\020\000\022\027\n\023KEY" +
-      "_OPERATION_CLAIM\020\001\022\031\n\025KEY_OPERATION_RELE" +
-      "ASE\020\002\022\026\n\022KEY_OPERATION_DONE\020\003*z\n\013CallOut" +
-      "come\022\034\n\030CALL_OUTCOME_UNSPECIFIED\020\000\022\031\n\025CA" +
-      "LL_OUTCOME_ANSWERED\020\001\022\030\n\024CALL_OUTCOME_NO" +
-      "T_RUN\020\002\022\030\n\024CALL_OUTCOME_UNKNOWN\020\003*\362\002\n\014No" +
-      "tRunReason\022\036\n\032NOT_RUN_REASON_UNSPECIFIED" +
-      "\020\000\022\035\n\031NOT_RUN_REASON_OVERLOADED\020\001\022\032\n\026NOT" +
-      "_RUN_REASON_LEAVING\020\002\022\032\n\026NOT_RUN_REASON_" +
-      "EXPIRED\020\003\022\037\n\033NOT_RUN_REASON_WRONG_TARGET" +
-      "\020\004\022\036\n\032NOT_RUN_REASON_UNREACHABLE\020\005\022\034\n\030NO" +
-      "T_RUN_REASON_CANCELLED\020\006\022\037\n\033NOT_RUN_REAS" +
-      "ON_KEY_CONFLICT\020\007\022\"\n\036NOT_RUN_REASON_DATA" +
-      "_CENTRE_OUT\020\010\022%\n!NOT_RUN_REASON_REFUSED_" +
-      "BY_BACKEND\020\t\022 \n\034NOT_RUN_REASON_KEY_UNSET" +
-      "TLED\020\n*z\n\014BackendPhase\022\035\n\031BACKEND_PHASE_" +
-      "UNSPECIFIED\020\000\022\027\n\023BACKEND_PHASE_READY\020\001\022\032" +
-      "\n\026BACKEND_PHASE_DRAINING\020\002\022\026\n\022BACKEND_PH" +
-      "ASE_GONE\020\003B\027\n\023org.oriolewind.wireP\001b\006pro" +
-      "to3"
+      "is\030\020 \001(\r\022\026\n\016caller_service\030\021 \001(\t\022\020\n\010prio" +
+      "rity\030\022 \001(\r\"\274\002\n\nCallAnswer\022\016\n\006stream\030\001 \001(" +
+      "\004\022(\n\007outcome\030\002 \001(\0162\027.oriolewind.CallOutc" +
+      "ome\0220\n\016not_run_reason\030\003 \001(\0162\030.oriolewind" +
+      ".NotRunReason\022\016\n\006status\030\004 \001(\r\022#\n\007headers" +
+      "\030\005 \003(\0132\022.oriolewind.Header\022\014\n\004body\030\006 \001(\014" +
+      "\022\026\n\016service_micros\030\007 \001(\004\022\014\n\004cold\030\010 \001(\010\022\r" +
+      "\n\005limit\030\t \001(\r\022\021\n\tin_flight\030\n \001(\r\022\032\n\022retr" +
+      "y_after_millis\030\013 \001(\r\022\033\n\023mean_service_mic" +
+      "ros\030\014 \001(\004\"\034\n\nCallCancel\022\016\n\006stream\030\001 \001(\004\"" +
+      "!\n\nCallGoAway\022\023\n\013last_stream\030\001 \001(\004\"\247\001\n\014B" +
+      "ackendEntry\022\023\n\013instance_id\030\001 \001(\t\022\023\n\013born" +
+      "_millis\030\002 \001(\004\022\017\n\007service\030\003 \001(\t\022\017\n\007versio" +
+      "n\030\004 \001(\t\022\'\n\005phase\030\005 \001(\0162\030.oriolewind.Back" +
+      "endPhase\022\r\n\005slots\030\006 \001(\r\022\023\n\013cold_millis\030\007" +
+      " \001(\r\"\267\003\n\nNodeStatus\022\014\n\004node\030\001 \001(\t\022\023\n\013inc" +
+      "arnation\030\002 \001(\004\022\020\n\010sequence\030\003 \001(\004\022\023\n\013data" +
+      "_centre\030\004 \001(\t\022\024\n\014peer_address\030\005 \001(\t\022)\n\007b" +
+      "ackend\030\006 \001(\0132\030.oriolewind.BackendEntry\022\r" +
+      "\n\005limit\030\007 \001(\r\022\021\n\tin_flight\030\010 \001(\r\022\033\n\023mean" +
+      "_service_micros\030\t \001(\004\022\030\n\020failure_permill" +
+      "e\030\n \001(\r\022\017\n\007leaving\030\013 \001(\010\022I\n\022document_rev" +
+      "isions\030\014 \003(\0132-.oriolewind.NodeStatus.Doc" +
+      "umentRevisionsEntry\022/\n\014trial_counts\030\r \003(" +
+      "\0132\031.oriolewind.EvidenceCount\0328\n\026Document" +
+      "RevisionsEntry\022\013\n\003key\030\001 \001(\t\022\r\n\005value\030\002 \001" +
+      "(\004:\0028\001\"\035\n\014DocumentPull\022\r\n\005kinds\030\001 \003(\t\";\n" +
+      "\010Document\022\014\n\004name\030\001 \001(\t\022\020\n\010revision\030\002 \001(" +
+      "\004\022\017\n\007content\030\003 \001(\014\"\\\n\013DocumentSet\022\014\n\004kin" +
+      "d\030\001 \001(\t\022\026\n\016as_of_revision\030\002 \001(\004\022\'\n\tdocum" +
+      "ents\030\003 \003(\0132\024.oriolewind.Document*\214\001\n\013Lin" +
+      "kPurpose\022\034\n\030LINK_PURPOSE_UNSPECIFIED\020\000\022\026" +
+      "\n\022LINK_PURPOSE_CHILD\020\001\022\027\n\023LINK_PURPOSE_B" +
+      "RIDGE\020\002\022\026\n\022LINK_PURPOSE_PROBE\020\003\022\026\n\022LINK_" +
+      "PURPOSE_CALLS\020\004*q\n\013MemberState\022\034\n\030MEMBER" +
+      "_STATE_UNSPECIFIED\020\000\022\023\n\017MEMBER_STATE_UP\020" +
+      "\001\022\030\n\024MEMBER_STATE_LEAVING\020\002\022\025\n\021MEMBER_ST" +
+      "ATE_DOWN\020\003*y\n\014KeyOperation\022\035\n\031KEY_OPERAT" +
+      "ION_UNSPECIFIED\020\000\022\027\n\023KEY_OPERATION_CLAIM" +
+      "\020\001\022\031\n\025KEY_OPERATION_RELEASE\020\002\022\026\n\022KEY_OPE" +
+      "RATION_DONE\020\003*z\n\013CallOutcome\022\034\n\030CALL_OUT" +
+      "COME_UNSPECIFIED\020\000\022\031\n\025CALL_OUTCOME_ANSWE" +
+      "RED\020\001\022\030\n\024CALL_OUTCOME_NOT_RUN\020\002\022\030\n\024CALL_" +
+      "OUTCOME_UNKNOWN\020\003*\362\002\n\014NotRunReason\022\036\n\032NO" +
+      "T_RUN_REASON_UNSPECIFIED\020\000\022\035\n\031NOT_RUN_RE" +
+      "ASON_OVERLOADED\020\001\022\032\n\026NOT_RUN_REASON_LEAV" +
+      "ING\020\002\022\032\n\026NOT_RUN_REASON_EXPIRED\020\003\022\037\n\033NOT" +
+      "_RUN_REASON_WRONG_TARGET\020\004\022\036\n\032NOT_RUN_RE" +
+      "ASON_UNREACHABLE\020\005\022\034\n\030NOT_RUN_REASON_CAN" +
+      "CELLED\020\006\022\037\n\033NOT_RUN_REASON_KEY_CONFLICT\020" +
+      "\007\022\"\n\036NOT_RUN_REASON_DATA_CENTRE_OUT\020\010\022%\n" +
+      "!NOT_RUN_REASON_REFUSED_BY_BACKEND\020\t\022 \n\034" +
+      "NOT_RUN_REASON_KEY_UNSETTLED\020\n*z\n\014Backen" +
+      "dPhase\022\035\n\031BACKEND_PHASE_UNSPECIFIED\020\000\022\027\n" +
+      "\023BACKEND_PHASE_READY\020\001\022\032\n\026BACKEND_PHASE_" +
+      "DRAINING\020\002\022\026\n\022BACKEND_PHASE_GONE\020\003B\027\n\023or" +
+      "g.oriolewind.wireP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -353,7 +352,7 @@
     internal_static_oriolewind_CallRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_oriolewind_CallRequest_descriptor,
-        new java.lang.String[] { "Stream", "Service", "ServiceVersion", "Route", "Method", "Path", "Headers", "Body", "TimeoutMillis", "Hops", "Idempotent", "IdempotencyKey", "CallId", "KeyOperation", "TargetInstance", "AimMillis", "Nested", "CallerService", "Priority", });
+        new java.lang.String[] { "Stream", "Service", "ServiceVersion", "Route", "Method", "Path", "Headers", "Body", "TimeoutMillis", "Hops", "Idempotent", "IdempotencyKey", "CallId", "KeyOperation", "TargetInstance", "AimMillis", "CallerService", "Priority", });
     internal_static_oriolewind_CallAnswer_descriptor =
       getDescriptor().getMessageType(13);
     internal_static_oriolewind_CallAnswer_fieldAccessorTable = new
