--- a/oriolewind-core/src/main/java/org/oriolewind/placement/Fleet.java
+++ b/oriolewind-core/src/main/java/org/oriolewind/placement/Fleet.java
@@ -71,6 +71,19 @@
         return serving;
     }
 
+    /**
+     * Takes that a node gives no sign of life. It gets no calls until it does.
+     *
+     * @param peerAddress its address
+     */
+    public void onStalled(String peerAddress) {
+        for (FleetMember member : mMembers.values()) {
+            if (member.status().getPeerAddress().equals(peerAddress)) {
+                member.onStalled();
+            }
+        }
+    }
+
     /**
      * Returns whether a member was heard of lately.
      *
@@ -78,7 +91,8 @@
      * @return true if it was
      */
     public boolean isHeard(FleetMember member) {
-        return member.silentMillis(mClock.monotonicMillis()) <= SILENT_MILLIS;
+        return !member.isStalled()
+                && member.silentMillis(mClock.monotonicMillis()) <= SILENT_MILLIS;
     }
 
     /**
--- a/oriolewind-core/src/main/java/org/oriolewind/placement/FleetMember.java
+++ b/oriolewind-core/src/main/java/org/oriolewind/placement/FleetMember.java
@@ -24,6 +24,7 @@
     private int mSentSinceReport;
     private long mMeanMicros;
     private int mFailuresInRow;
+    private boolean mStalled;
     private long mSuspectUntilMillis = Long.MIN_VALUE;
     private long mLastSentMillis = Long.MIN_VALUE / 2;
 
@@ -44,6 +45,7 @@
     }
 
     private void report(int limit, int load, long meanMicros) {
+        mStalled = false;
         mLimit = Math.max(1, limit);
         mLoad = load;
         mSentSinceReport = 0;
@@ -83,6 +85,19 @@
         mSuspectUntilMillis = nowMillis + Math.min(SUSPECT_MAX_MILLIS, pause);
     }
 
+    void onStalled() {
+        mStalled = true;
+    }
+
+    /**
+     * Returns whether the node gives no sign of life.
+     *
+     * @return true until something is heard of it
+     */
+    public boolean isStalled() {
+        return mStalled;
+    }
+
     /**
      * Returns whether calls to the node failed lately.
      *
--- a/oriolewind-core/src/main/java/org/oriolewind/placement/Placement.java
+++ b/oriolewind-core/src/main/java/org/oriolewind/placement/Placement.java
@@ -73,14 +73,15 @@
         long now = mClock.monotonicMillis();
         List<FleetMember> allowed = new ArrayList<>();
         for (FleetMember member : mFleet.serving(service)) {
-            if (versions.test(member.status().getBackend().getVersion())
+            if (mFleet.isHeard(member)
+                    && versions.test(member.status().getBackend().getVersion())
                     && !view.isOut(member.status().getDataCentre())
                     && !tried.contains(member.status().getNode())) {
                 allowed.add(member);
             }
         }
         List<FleetMember> sound = new ArrayList<>(allowed);
-        sound.removeIf(m -> m.isSuspect(now) || !mFleet.isHeard(m));
+        sound.removeIf(m -> m.isSuspect(now));
         List<FleetMember> pool = sound.isEmpty() ? allowed : sound;
         if (mayExplore) {
             for (FleetMember member : pool) {
--- a/oriolewind-node/src/main/java/org/oriolewind/node/call/MeshPeers.java
+++ b/oriolewind-node/src/main/java/org/oriolewind/node/call/MeshPeers.java
@@ -51,6 +51,13 @@
          */
         void onStatus(NodeStatus status);
 
+        /**
+         * A node gives no sign of life on its link.
+         *
+         * @param address its address
+         */
+        void onStalled(String address);
+
         /**
          * A node asks for documents.
          *
@@ -128,8 +135,12 @@
 
     private void onFrame(PeerConnection connection, Frame frame) {
         if (frame.hasNodeStatus()) {
-            mListener.onStatus(frame.getNodeStatus());
-            addPeer(frame.getNodeStatus().getPeerAddress());
+            NodeStatus status = frame.getNodeStatus();
+            // An empty status only asks for a sign of life.
+            if (!status.getNode().isEmpty()) {
+                mListener.onStatus(status);
+                addPeer(status.getPeerAddress());
+            }
             // An empty status keeps the link of the other node alive.
             connection.send(
                     mStamp.newFrame().setNodeStatus(NodeStatus.getDefaultInstance()).build());
@@ -161,10 +172,18 @@
 
     /** Dials nodes that have no link, gives silent links up, ends overdue calls. */
     public void tick() {
-        for (Target target : mTargets.values()) {
-            if (target.mLink != null) {
-                target.mLink.abortIfSilent(LINK_SILENCE_MILLIS);
-                target.mLink.tick();
+        mTargets.forEach(
+                (address, target) -> {
+                    if (target.mLink != null) {
+                        target.mLink.abortIfSilent(LINK_SILENCE_MILLIS);
+                        target.mLink.tick();
+                    }
+                });
+        List<Map.Entry<String, Target>> targets = new ArrayList<>(mTargets.entrySet());
+        for (Map.Entry<String, Target> target : targets) {
+            PeerCallLink link = target.getValue().mLink;
+            if (link != null && link.checkStall()) {
+                mListener.onStalled(target.getKey());
             }
         }
         dialDue();
--- a/oriolewind-node/src/main/java/org/oriolewind/node/call/PeerCallLink.java
+++ b/oriolewind-node/src/main/java/org/oriolewind/node/call/PeerCallLink.java
@@ -20,6 +20,7 @@
 import org.oriolewind.wire.Hello;
 import org.oriolewind.wire.LinkPurpose;
 import org.oriolewind.wire.Member;
+import org.oriolewind.wire.NodeStatus;
 import org.oriolewind.wire.NotRunReason;
 
 /**
@@ -36,6 +37,12 @@
     /** Silence, with calls overdue, after which the connection is given up. */
     private static final long SILENCE_MILLIS = 5000;
 
+    /** Silence, with calls outstanding, after which the other node is asked for a sign of life. */
+    private static final long PING_AFTER_MILLIS = 250;
+
+    /** Time for that sign; a busy node may take some hundred milliseconds. */
+    private static final long PONG_MILLIS = 400;
+
     private final String mPeerAddress;
     private final Member mSelf;
     private final FrameStamp mStamp;
@@ -49,6 +56,8 @@
     private boolean mPeerEnds;
     private long mNextStream = 1;
     private long mHeardMillis;
+    private long mPingMillis = Long.MIN_VALUE / 2;
+    private long mOutstandingSinceMillis;
 
     PeerCallLink(
             String peerAddress,
@@ -124,6 +133,9 @@
                                 mClock.monotonicMillis()
                                         + request.getTimeoutMillis()
                                         + ANSWER_GRACE_MILLIS);
+                if (mPending.isEmpty()) {
+                    mOutstandingSinceMillis = mClock.monotonicMillis();
+                }
                 mPending.put(stream, pending);
                 if (mConnection == null) {
                     mUnsent.add(pending);
@@ -195,6 +207,47 @@
         }
     }
 
+    /**
+     * Asks the other node for a sign of life when calls are outstanding and nothing was heard.
+     *
+     * @return true if it has not given one in time; calls that may run again are given up then
+     */
+    boolean checkStall() {
+        long now = mClock.monotonicMillis();
+        List<Pending> givenUp = new ArrayList<>();
+        PeerConnection connection;
+        synchronized (this) {
+            connection = mConnection;
+            long since = Math.max(mHeardMillis, mOutstandingSinceMillis);
+            if (mClosed || connection == null || mPending.isEmpty()) {
+                return false;
+            }
+            if (now - since < PING_AFTER_MILLIS) {
+                return false;
+            }
+            if (mPingMillis < since) {
+                mPingMillis = now;
+                connection.send(
+                        mStamp.newFrame().setNodeStatus(NodeStatus.getDefaultInstance()).build());
+                return false;
+            }
+            if (now - mPingMillis < PONG_MILLIS) {
+                return false;
+            }
+            for (Pending pending : mPending.values()) {
+                if (pending.request().getIdempotent()) {
+                    givenUp.add(pending);
+                }
+            }
+            givenUp.forEach(pending -> mPending.remove(pending.stream()));
+        }
+        for (Pending pending : givenUp) {
+            sendCancel(connection, pending.stream());
+            pending.done().accept(CallAnswers.unknown());
+        }
+        return true;
+    }
+
     /** Gives the connection up if nothing was heard on it for a time. */
     void abortIfSilent(long silenceMillis) {
         PeerConnection connection;
