--- /dev/null
+++ b/oriolewind-core/src/test/java/org/oriolewind/dispatch/RoutedRequestTest.java
@@ -0,0 +1,278 @@
+package org.oriolewind.dispatch;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.google.protobuf.ByteString;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.OptionalLong;
+import java.util.Random;
+import java.util.function.Consumer;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.oriolewind.placement.Fleet;
+import org.oriolewind.placement.Placement;
+import org.oriolewind.placement.RepeatBudget;
+import org.oriolewind.placement.SplitChooser;
+import org.oriolewind.policy.DocumentKind;
+import org.oriolewind.policy.FakeDecoder;
+import org.oriolewind.policy.OperatorView;
+import org.oriolewind.policy.RequestKind;
+import org.oriolewind.request.CallAnswers;
+import org.oriolewind.request.Cancellable;
+import org.oriolewind.time.FakeClock;
+import org.oriolewind.time.FakeTimers;
+import org.oriolewind.trial.TrialBook;
+import org.oriolewind.wire.BackendEntry;
+import org.oriolewind.wire.BackendPhase;
+import org.oriolewind.wire.CallAnswer;
+import org.oriolewind.wire.CallOutcome;
+import org.oriolewind.wire.CallRequest;
+import org.oriolewind.wire.NodeStatus;
+import org.oriolewind.wire.NotRunReason;
+
+class RoutedRequestTest {
+    private static final String SAFE = "/safe/";
+    private static final String UNSAFE = "/unsafe/";
+
+    private final FakeClock mClock = new FakeClock();
+    private final FakeTimers mTimers = new FakeTimers(mClock);
+    private final Fleet mFleet = new Fleet(mClock);
+    private final OperatorView mView =
+            new OperatorView(
+                    new FakeDecoder(
+                            List.of(
+                                    FakeDecoder.route(SAFE, RequestKind.SAFE, "s"),
+                                    FakeDecoder.route(UNSAFE, RequestKind.UNSAFE, "s"))),
+                    kind -> {});
+    private final List<Sending> mSendings = new ArrayList<>();
+    private final List<ClientReply> mReplies = new ArrayList<>();
+    private int mCancelled;
+    private RequestRouter mRouter;
+
+    private record Sending(String address, CallRequest request, Consumer<CallAnswer> done) {}
+
+    private final class NoLog implements RequestLog {
+        @Override
+        public void ended(
+                ClientRequest request, String route, String outcome, String detail, long millis) {
+            // Outcomes are judged by the replies.
+        }
+
+        @Override
+        public void sentAgain(String requestId, String node, String reason) {
+            // Sendings are judged at the peers.
+        }
+    }
+
+    @BeforeEach
+    void createRouter() {
+        mRouter =
+                new RequestRouter(
+                        new DispatchContext(
+                                "self",
+                                () -> "caller",
+                                mClock,
+                                mTimers,
+                                new Random(1),
+                                mView,
+                                new Placement("dc", mClock, new Random(1), mFleet),
+                                new SplitChooser(),
+                                new RepeatBudget(mClock, 0.2, 60, 10_000, () -> 1),
+                                new TrialBook(mClock, new Random(1)),
+                                (request, done) -> send("self", request, done),
+                                this::send,
+                                new NoLog()));
+        for (String node : List.of("a", "b", "c")) {
+            mFleet.onStatus(
+                    NodeStatus.newBuilder()
+                            .setNode(node)
+                            .setIncarnation(1)
+                            .setSequence(1)
+                            .setDataCentre("dc")
+                            .setPeerAddress(node)
+                            .setLimit(4)
+                            .setBackend(
+                                    BackendEntry.newBuilder()
+                                            .setInstanceId("i-" + node)
+                                            .setService("s")
+                                            .setVersion("v1")
+                                            .setPhase(BackendPhase.BACKEND_PHASE_READY)
+                                            .setSlots(4))
+                            .build());
+        }
+    }
+
+    private Cancellable send(String address, CallRequest request, Consumer<CallAnswer> done) {
+        mSendings.add(new Sending(address, request, done));
+        return () -> mCancelled++;
+    }
+
+    private Cancellable dispatch(String path) {
+        ClientRequest request =
+                new ClientRequest(
+                        "id",
+                        FakeDecoder.HOST,
+                        "GET",
+                        path,
+                        path,
+                        List.of(),
+                        ByteString.EMPTY,
+                        OptionalLong.of(800));
+        return mRouter.dispatch(request, mReplies::add);
+    }
+
+    private void know() {
+        mView.replace(
+                DocumentKind.CONFIG, 1, List.of(FakeDecoder.document("main", 1, "1")));
+    }
+
+    private void answer(int sending, CallAnswer answer) {
+        mSendings.get(sending).done().accept(answer);
+    }
+
+    private static CallAnswer answered(int status) {
+        return CallAnswer.newBuilder()
+                .setOutcome(CallOutcome.CALL_OUTCOME_ANSWERED)
+                .setStatus(status)
+                .build();
+    }
+
+    @Test
+    void nodeWithoutConfigurationPromisesNotRun() {
+        dispatch(SAFE + "x");
+        assertInstanceOf(ClientReply.NotRun.class, mReplies.get(0));
+    }
+
+    @Test
+    void unknownPathHasNoRoute() {
+        know();
+        dispatch("/other/");
+        assertInstanceOf(ClientReply.NoRoute.class, mReplies.get(0));
+    }
+
+    @Test
+    void namesTheInstanceAndTheTimeLeft() {
+        know();
+        dispatch(SAFE + "x");
+        CallRequest request = mSendings.get(0).request();
+        assertEquals("i-" + mSendings.get(0).address(), request.getTargetInstance());
+        assertEquals(800, request.getTimeoutMillis());
+        assertEquals("caller", request.getCallerService());
+    }
+
+    @Test
+    void unsafeRequestWithUnknownEndIsNeverSentAgain() {
+        know();
+        dispatch(UNSAFE + "x");
+        answer(0, CallAnswers.unknown());
+        assertEquals(1, mSendings.size());
+        assertInstanceOf(ClientReply.Unknown.class, mReplies.get(0));
+    }
+
+    @Test
+    void safeRequestWithUnknownEndGoesToAnotherNode() {
+        know();
+        dispatch(SAFE + "x");
+        answer(0, CallAnswers.unknown());
+        assertEquals(2, mSendings.size());
+        assertTrue(!mSendings.get(0).address().equals(mSendings.get(1).address()));
+        answer(1, answered(200));
+        assertEquals(200, ((ClientReply.Answered) mReplies.get(0)).status());
+    }
+
+    @Test
+    void refusalAfterAnUnknownEndPromisesNothing() {
+        know();
+        dispatch(SAFE + "x");
+        answer(0, CallAnswers.unknown());
+        answer(1, CallAnswers.notRun(NotRunReason.NOT_RUN_REASON_EXPIRED));
+        assertInstanceOf(ClientReply.Unknown.class, mReplies.get(0));
+    }
+
+    @ParameterizedTest
+    @EnumSource(
+            value = NotRunReason.class,
+            names = {
+                "NOT_RUN_REASON_OVERLOADED",
+                "NOT_RUN_REASON_LEAVING",
+                "NOT_RUN_REASON_WRONG_TARGET",
+                "NOT_RUN_REASON_UNREACHABLE",
+                "NOT_RUN_REASON_DATA_CENTRE_OUT",
+                "NOT_RUN_REASON_REFUSED_BY_BACKEND"
+            })
+    void unsafeRequestThatProvablyDidNotRunGoesElsewhere(NotRunReason reason) {
+        know();
+        dispatch(UNSAFE + "x");
+        answer(0, CallAnswers.notRun(reason));
+        assertEquals(2, mSendings.size());
+        answer(1, answered(200));
+        assertInstanceOf(ClientReply.Answered.class, mReplies.get(0));
+    }
+
+    @Test
+    void refusedEverywherePromisesNotRun() {
+        know();
+        dispatch(UNSAFE + "x");
+        for (int i = 0; i < 3; i++) {
+            answer(i, CallAnswers.notRun(NotRunReason.NOT_RUN_REASON_OVERLOADED));
+        }
+        assertEquals(3, mSendings.size());
+        assertInstanceOf(ClientReply.NotRun.class, mReplies.get(0));
+    }
+
+    @Test
+    void safeRequestIsHandedToNoMoreThanMaxAttempts() {
+        know();
+        dispatch(SAFE + "x");
+        answer(0, answered(500));
+        answer(1, answered(500));
+        assertEquals(2, mSendings.size());
+        assertEquals(500, ((ClientReply.Answered) mReplies.get(0)).status());
+    }
+
+    @Test
+    void firstAnswerIsGivenIfTheRepeatFindsNoRoom() {
+        know();
+        dispatch(SAFE + "x");
+        answer(0, answered(500));
+        answer(1, CallAnswers.notRun(NotRunReason.NOT_RUN_REASON_EXPIRED));
+        assertEquals(500, ((ClientReply.Answered) mReplies.get(0)).status());
+    }
+
+    @Test
+    void unsafeFailureOfTheBackendServerIsPassedOn() {
+        know();
+        dispatch(UNSAFE + "x");
+        answer(0, answered(500));
+        assertEquals(1, mSendings.size());
+        assertEquals(500, ((ClientReply.Answered) mReplies.get(0)).status());
+    }
+
+    @Test
+    void silenceEndsAtTheDeadline() {
+        know();
+        dispatch(UNSAFE + "x");
+        mTimers.advance(900);
+        assertEquals(1, mReplies.size());
+        assertEquals(new ClientReply.Unknown(true), mReplies.get(0));
+        assertEquals(1, mCancelled);
+        answer(0, answered(200));
+        assertEquals(1, mReplies.size());
+    }
+
+    @Test
+    void clientThatLeavesCancelsTheSendingAndGetsNothing() {
+        know();
+        Cancellable request = dispatch(SAFE + "x");
+        request.cancel();
+        assertEquals(1, mCancelled);
+        answer(0, CallAnswers.unknown());
+        assertEquals(1, mSendings.size());
+        assertTrue(mReplies.isEmpty());
+    }
+}
--- /dev/null
+++ b/oriolewind-core/src/test/java/org/oriolewind/placement/PlacementTest.java
@@ -0,0 +1,127 @@
+package org.oriolewind.placement;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import org.oriolewind.policy.DocumentKind;
+import org.oriolewind.policy.FakeDecoder;
+import org.oriolewind.policy.OperatorView;
+import org.oriolewind.time.FakeClock;
+import org.oriolewind.wire.BackendEntry;
+import org.oriolewind.wire.BackendPhase;
+import org.oriolewind.wire.NodeStatus;
+
+class PlacementTest {
+    private static final long AIM_MILLIS = 500;
+
+    private final FakeClock mClock = new FakeClock();
+    private final Fleet mFleet = new Fleet(mClock);
+    private final OperatorView mView =
+            new OperatorView(new FakeDecoder(List.of()), kind -> {});
+    private final Placement mPlacement = new Placement("dc1", mClock, new Random(1), mFleet);
+    private long mSequence;
+
+    private NodeStatus.Builder status(String node, String dataCentre) {
+        return NodeStatus.newBuilder()
+                .setNode(node)
+                .setIncarnation(1)
+                .setSequence(++mSequence)
+                .setDataCentre(dataCentre)
+                .setPeerAddress(node + ":1")
+                .setLimit(6)
+                .setMeanServiceMicros(100_000)
+                .setBackend(
+                        BackendEntry.newBuilder()
+                                .setInstanceId("i-" + node)
+                                .setService("s")
+                                .setVersion("v1")
+                                .setPhase(BackendPhase.BACKEND_PHASE_READY)
+                                .setSlots(6));
+    }
+
+    private Optional<String> choose() {
+        return choose(Set.of());
+    }
+
+    private Optional<String> choose(Set<String> tried) {
+        return mPlacement
+                .choose("s", version -> true, mView, tried, AIM_MILLIS, false)
+                .map(m -> m.status().getNode());
+    }
+
+    private Map<String, Integer> chooseMany() {
+        Map<String, Integer> counts = new HashMap<>();
+        for (int i = 0; i < 100; i++) {
+            choose().ifPresent(node -> counts.merge(node, 1, Integer::sum));
+        }
+        return counts;
+    }
+
+    @Test
+    void staysInItsDataCentreWhileThatAnswersInTime() {
+        mFleet.onStatus(status("near", "dc1").setInFlight(8).build());
+        mFleet.onStatus(status("far", "dc2").build());
+        assertEquals(Map.of("near", 100), chooseMany());
+    }
+
+    @Test
+    void leavesItWhenTheWaitThereIsLong() {
+        mFleet.onStatus(status("near", "dc1").setInFlight(40).build());
+        mFleet.onStatus(status("far", "dc2").build());
+        assertEquals(Map.of("far", 100), chooseMany());
+    }
+
+    /** Load pattern: a backend server fails many calls quickly, so that it looks idle. */
+    @Test
+    void avoidsABackendServerThatFails() {
+        mFleet.onStatus(status("grey", "dc1").setFailurePermille(450).build());
+        mFleet.onStatus(status("far", "dc2").setInFlight(3).build());
+        assertEquals(Map.of("far", 100), chooseMany());
+    }
+
+    @Test
+    void silentNodesGetNothing() {
+        mFleet.onStatus(status("near", "dc1").build());
+        mClock.advanceMillis(Fleet.SILENT_MILLIS + 1);
+        assertEquals(Optional.empty(), choose());
+    }
+
+    @Test
+    void stalledNodeGetsNothingUntilItIsHeard() {
+        mFleet.onStatus(status("near", "dc1").build());
+        mFleet.onStalled("near:1");
+        assertEquals(Optional.empty(), choose());
+        mFleet.onStatus(status("near", "dc1").build());
+        assertEquals(Optional.of("near"), choose());
+    }
+
+    @Test
+    void evacuatedDataCentreGetsNothing() {
+        mFleet.onStatus(status("near", "dc1").build());
+        mView.apply(
+                DocumentKind.EVACUATION, FakeDecoder.document("dc1", 1, ""), false, 1);
+        assertEquals(Optional.empty(), choose());
+    }
+
+    @Test
+    void triedNodesAreLeftOut() {
+        mFleet.onStatus(status("a", "dc1").build());
+        mFleet.onStatus(status("b", "dc1").build());
+        assertEquals(Optional.of("b"), choose(Set.of("a")));
+    }
+
+    @Test
+    void earlierStatusIsIgnored() {
+        NodeStatus old = status("near", "dc1").build();
+        mFleet.onStatus(status("near", "dc1").setLeaving(true).build());
+        mFleet.onStatus(old);
+        assertTrue(mFleet.serving("s").isEmpty());
+    }
+}
