--- /dev/null
+++ b/oriolewind-node/src/test/java/org/oriolewind/node/http/HttpExchangesTest.java
@@ -0,0 +1,225 @@
+package org.oriolewind.node.http;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpVersion;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.oriolewind.request.Cancellable;
+
+/** Exchanges with a server that misbehaves, scripted byte by byte. */
+class HttpExchangesTest {
+    private static final String OK = "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: 2\r\n\r\nok";
+
+    private final EventLoopGroup mGroup =
+            new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final EventLoop mLoop = mGroup.next();
+    private final BlockingQueue<String> mEnds = new LinkedBlockingQueue<>();
+    private ServerSocket mServer;
+    private HttpExchanges mExchanges;
+
+    @BeforeEach
+    void open() throws IOException {
+        mServer = new ServerSocket(0, 10, InetAddress.getLoopbackAddress());
+        InetSocketAddress address =
+                new InetSocketAddress(InetAddress.getLoopbackAddress(), mServer.getLocalPort());
+        mExchanges = new HttpExchanges(mLoop, address, 10, 500, 5000);
+    }
+
+    @AfterEach
+    void close() throws IOException {
+        mServer.close();
+        mGroup.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+    }
+
+    private final class Listener implements HttpReplyListener {
+        private final String mId;
+
+        Listener(String id) {
+            mId = id;
+        }
+
+        @Override
+        public boolean answers(FullHttpResponse response) {
+            return mId.equals(response.headers().get("Id"));
+        }
+
+        @Override
+        public void onReply(FullHttpResponse response) {
+            mEnds.add(
+                    response.status().code()
+                            + " "
+                            + response.content().toString(StandardCharsets.UTF_8));
+        }
+
+        @Override
+        public void onFailure(boolean sent, boolean timedOut, String reason) {
+            mEnds.add((sent ? "sent" : "unsent") + (timedOut ? " timed out" : ""));
+        }
+    }
+
+    private void send(String id, long timeoutMillis) {
+        mLoop.execute(() -> begin(id, timeoutMillis));
+    }
+
+    private Cancellable begin(String id, long timeoutMillis) {
+        return mExchanges.send(
+                new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/"),
+                timeoutMillis,
+                new Listener(id));
+    }
+
+    private String end() throws InterruptedException {
+        String end = mEnds.poll(5, TimeUnit.SECONDS);
+        assertTrue(end != null, "the exchange ends");
+        return end;
+    }
+
+    private static void readRequest(Socket socket) throws IOException {
+        InputStream in = socket.getInputStream();
+        int matched = 0;
+        byte[] blank = "\r\n\r\n".getBytes(StandardCharsets.UTF_8);
+        while (matched < blank.length) {
+            int next = in.read();
+            if (next < 0) {
+                throw new IOException("closed");
+            }
+            matched = next == blank[matched] ? matched + 1 : next == blank[0] ? 1 : 0;
+        }
+    }
+
+    private static void write(Socket socket, String text) throws IOException {
+        socket.getOutputStream().write(text.getBytes(StandardCharsets.UTF_8));
+        socket.getOutputStream().flush();
+    }
+
+    @Test
+    void connectionIsUsedAgain() throws Exception {
+        send("a", 2000);
+        try (Socket socket = mServer.accept()) {
+            readRequest(socket);
+            write(socket, String.format(OK, "a"));
+            assertEquals("200 ok", end());
+            send("b", 2000);
+            readRequest(socket);
+            write(socket, String.format(OK, "b"));
+            assertEquals("200 ok", end());
+        }
+    }
+
+    @Test
+    void lateExtraAnswerBelongsToNoRequest() throws Exception {
+        send("a", 2000);
+        try (Socket socket = mServer.accept()) {
+            readRequest(socket);
+            write(socket, String.format(OK, "a"));
+            assertEquals("200 ok", end());
+            send("b", 2000);
+            readRequest(socket);
+            write(socket, String.format(OK, "a") + String.format(OK, "b"));
+            assertEquals("200 ok", end());
+            assertEquals(-1, socket.getInputStream().read());
+        }
+    }
+
+    @Test
+    void extraAnswerClosesTheConnection() throws Exception {
+        send("a", 2000);
+        try (Socket socket = mServer.accept()) {
+            readRequest(socket);
+            write(socket, String.format(OK, "a") + String.format(OK, "a"));
+            assertEquals("200 ok", end());
+            assertEquals(-1, socket.getInputStream().read());
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 9\r\n\r\nok",
+                "HTTP/1.1 200 OK\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n",
+                "HTTP/1.1 200 OK\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\nok\r\n",
+                "rubbish\r\n\r\n",
+                "HTTP/1.1 200",
+                ""
+            })
+    void brokenAnswerIsNoAnswer(String bytes) throws Exception {
+        send("a", 2000);
+        try (Socket socket = mServer.accept()) {
+            readRequest(socket);
+            write(socket, bytes);
+        }
+        assertEquals("sent", end());
+    }
+
+    @Test
+    void answerWithoutLengthEndsWithItsConnection() throws Exception {
+        send("a", 2000);
+        try (Socket socket = mServer.accept()) {
+            readRequest(socket);
+            write(socket, "HTTP/1.1 200 OK\r\nId: a\r\n\r\nwhole");
+        }
+        assertEquals("200 whole", end());
+    }
+
+    @Test
+    void answerWithoutLengthThatIsResetIsNotWhole() throws Exception {
+        send("a", 2000);
+        Socket socket = mServer.accept();
+        readRequest(socket);
+        write(socket, "HTTP/1.1 200 OK\r\nId: a\r\n\r\nhalf");
+        Thread.sleep(100);
+        socket.setSoLinger(true, 0);
+        socket.close();
+        assertEquals("sent", end());
+    }
+
+    @Test
+    void silenceEndsAtTheTimeout() throws Exception {
+        send("a", 300);
+        try (Socket socket = mServer.accept()) {
+            readRequest(socket);
+            assertEquals("sent timed out", end());
+            assertEquals(-1, socket.getInputStream().read());
+        }
+    }
+
+    @Test
+    void refusedConnectionProvesThatNothingWasSent() throws Exception {
+        mServer.close();
+        send("a", 2000);
+        assertEquals("unsent", end());
+    }
+
+    @Test
+    void cancelledExchangeClosesItsConnection() throws Exception {
+        Cancellable exchange = mLoop.submit(() -> begin("a", 5000)).get();
+        try (Socket socket = mServer.accept()) {
+            readRequest(socket);
+            mLoop.execute(exchange::cancel);
+            assertEquals("sent", end());
+            assertEquals(-1, socket.getInputStream().read());
+        }
+    }
+}
