--- a/oriolewind-core/src/main/java/org/oriolewind/placement/Fleet.java
+++ b/oriolewind-core/src/main/java/org/oriolewind/placement/Fleet.java
@@ -31,7 +31,7 @@
     }
 
     /**
-     * Takes a status.
+     * Takes a status. One without a data centre tells only the load, and leaves the rest as it was.
      *
      * @param status the status
      * @return true if it was news
@@ -39,22 +39,37 @@
     public boolean onStatus(NodeStatus status) {
         long now = mClock.monotonicMillis();
         FleetMember member = mMembers.get(status.getNode());
+        boolean whole = !status.getDataCentre().isEmpty();
+        boolean known =
+                member != null && member.status().getIncarnation() == status.getIncarnation();
+        if (!whole && !known) {
+            return false;
+        }
         if (member == null) {
             mMembers.put(status.getNode(), new FleetMember(status, now));
             return true;
         }
-        NodeStatus known = member.status();
+        NodeStatus latest = member.status();
         boolean older =
-                status.getIncarnation() < known.getIncarnation()
-                        || status.getIncarnation() == known.getIncarnation()
-                                && status.getSequence() <= known.getSequence();
+                status.getIncarnation() < latest.getIncarnation()
+                        || known && status.getSequence() <= latest.getSequence();
         if (older) {
             return false;
         }
-        member.onStatus(status, now);
+        member.onStatus(whole ? status : withLoad(latest, status), now);
         return true;
     }
 
+    private static NodeStatus withLoad(NodeStatus latest, NodeStatus load) {
+        return latest.toBuilder()
+                .setSequence(load.getSequence())
+                .setLimit(load.getLimit())
+                .setInFlight(load.getInFlight())
+                .setMeanServiceMicros(load.getMeanServiceMicros())
+                .setFailurePermille(load.getFailurePermille())
+                .build();
+    }
+
     /**
      * Returns the members whose backend servers take calls of a service.
      *
--- a/oriolewind-node/src/main/java/org/oriolewind/node/call/MeshPeers.java
+++ b/oriolewind-node/src/main/java/org/oriolewind/node/call/MeshPeers.java
@@ -77,6 +77,7 @@
     /** A node that is dialled. */
     private static final class Target {
         PeerCallLink mLink;
+        boolean mGreeted;
         long mNextDialMillis;
         long mPauseMillis = DIAL_PAUSE_MILLIS;
     }
@@ -205,6 +206,7 @@
         target.mPauseMillis = Math.min(MAX_DIAL_PAUSE_MILLIS, target.mPauseMillis * 2);
         Optional<InetSocketAddress> address = PeerAddress.parse(text);
         if (address.isPresent()) {
+            target.mGreeted = false;
             target.mLink =
                     new PeerCallLink(
                             text, mSelf, mStamp, mClock, MAX_STREAMS, this::onLinkFrame);
@@ -214,20 +216,19 @@
     }
 
     /**
-     * Sends a frame to all nodes to which a link is open.
+     * Tells this node's status on all open links.
      *
-     * @param frame fills the body in
+     * @param whole the whole status, for links on which none was sent yet
+     * @param update what has changed since the latest status
      */
-    public void broadcast(Consumer<Frame.Builder> frame) {
-        Frame.Builder builder = mStamp.newFrame();
-        frame.accept(builder);
-        Frame built = builder.build();
+    public void broadcastStatus(NodeStatus whole, NodeStatus update) {
+        Frame wholeFrame = mStamp.newFrame().setNodeStatus(whole).build();
+        Frame updateFrame = mStamp.newFrame().setNodeStatus(update).build();
         for (Target target : mTargets.values()) {
-            if (target.mLink != null) {
-                target.mLink.sendOther(built);
-                if (target.mLink.isOpen()) {
-                    target.mPauseMillis = DIAL_PAUSE_MILLIS;
-                }
+            if (target.mLink != null && target.mLink.isOpen()) {
+                target.mPauseMillis = DIAL_PAUSE_MILLIS;
+                target.mLink.sendOther(target.mGreeted ? updateFrame : wholeFrame);
+                target.mGreeted = true;
             }
         }
     }
