--- a/oriolewind-core/src/main/java/org/oriolewind/backend/BackendCall.java
+++ b/oriolewind-core/src/main/java/org/oriolewind/backend/BackendCall.java
@@ -66,8 +66,7 @@
     public void onAdmitted() {
         mHandedOverNanos = mService.clock().monotonicNanos();
         long timeLeftMillis = mDeadlineMillis - mService.clock().monotonicMillis();
-        mSending =
-                Optional.of(mService.port().send(mRequest, Math.max(1, timeLeftMillis), this));
+        mSending = Optional.of(mService.port().send(mRequest, Math.max(1, timeLeftMillis), this));
     }
 
     @Override
--- a/oriolewind-core/src/main/java/org/oriolewind/backend/BackendGate.java
+++ b/oriolewind-core/src/main/java/org/oriolewind/backend/BackendGate.java
@@ -13,8 +13,8 @@
  * calls wait here, where they can be reordered and refused with certainty, and not there.
  *
  * <p>Order of waiting calls: those that can still be answered within their aim before those that
- * can't; then the higher rank, which operators give to calls that others wait for; then the earliest
- * aim. A call that would miss its aim by waiting is refused at once, so that its sender
+ * can't; then the higher rank, which operators give to calls that others wait for; then the
+ * earliest aim. A call that would miss its aim by waiting is refused at once, so that its sender
  * can try elsewhere.
  *
  * <p>Invariants: calls in flight never exceed the limit; each call that enters is admitted or
--- a/oriolewind-core/src/main/java/org/oriolewind/backend/BackendService.java
+++ b/oriolewind-core/src/main/java/org/oriolewind/backend/BackendService.java
@@ -19,7 +19,9 @@
  * through the gate and hands them over. Not safe for use by several threads.
  */
 public final class BackendService implements CallServer {
-    /** Share of the cold rate that operators name which is used, so that bounds hold at all times. */
+    /**
+     * Share of the cold rate that operators name which is used, so that bounds hold at all times.
+     */
     private static final double COLD_RATE_SHARE = 1.2;
 
     /** Rate for cold backend servers of which operators say nothing. */
--- a/oriolewind-core/src/main/java/org/oriolewind/backend/LocalBackend.java
+++ b/oriolewind-core/src/main/java/org/oriolewind/backend/LocalBackend.java
@@ -203,8 +203,7 @@
                 .setVersion(report.version())
                 .setPhase(phase)
                 .setSlots(report.slots())
-                .setColdMillis(
-                        (int) Math.max(0, mColdUntilMillis - mClock.monotonicMillis()))
+                .setColdMillis((int) Math.max(0, mColdUntilMillis - mClock.monotonicMillis()))
                 .build();
     }
 }
--- a/oriolewind-core/src/main/java/org/oriolewind/dispatch/RoutedRequest.java
+++ b/oriolewind-core/src/main/java/org/oriolewind/dispatch/RoutedRequest.java
@@ -11,16 +11,15 @@
 import org.oriolewind.trial.TrialShare;
 import org.oriolewind.wire.BackendEntry;
 import org.oriolewind.wire.CallAnswer;
-import org.oriolewind.wire.CallOutcome;
 import org.oriolewind.wire.CallRequest;
 import org.oriolewind.wire.NotRunReason;
 
 /**
  * One request on its way, on the configuration that was in force when it came.
  *
- * <p>Invariants: sendings follow one another and no two are open at once; a request that may not run
- * again is sent on only after an answer that proves that it did not run; the end is given once. Not
- * safe for use by several threads.
+ * <p>Invariants: sendings follow one another and no two are open at once; a request that may not
+ * run again is sent on only after an answer that proves that it did not run; the end is given once.
+ * Not safe for use by several threads.
  */
 final class RoutedRequest implements Cancellable {
     private static final int SERVER_ERROR = 500;
@@ -86,8 +85,7 @@
         mTimeout =
                 Optional.of(
                         mContext.timers()
-                                .schedule(
-                                        timeLeftMillis() + ANSWER_GRACE_MILLIS, this::onTimeout));
+                                .schedule(timeLeftMillis() + ANSWER_GRACE_MILLIS, this::onTimeout));
         send();
     }
 
--- a/oriolewind-core/src/main/java/org/oriolewind/placement/Fleet.java
+++ b/oriolewind-core/src/main/java/org/oriolewind/placement/Fleet.java
@@ -15,7 +15,10 @@
  * <p>Invariant: a status of an earlier incarnation, or an earlier one of the same, is ignored.
  */
 public final class Fleet {
-    /** Silence after which a node counts as out of reach: statuses come each 1 s, and one may be lost. */
+    /**
+     * Silence after which a node counts as out of reach: statuses come each 1 s, and one may be
+     * lost.
+     */
     public static final long SILENT_MILLIS = 2500;
 
     private final NodeClock mClock;
--- a/oriolewind-core/src/main/java/org/oriolewind/placement/FleetMember.java
+++ b/oriolewind-core/src/main/java/org/oriolewind/placement/FleetMember.java
@@ -33,8 +33,7 @@
     }
 
     void onStatus(NodeStatus status, long nowMillis) {
-        boolean restarted =
-                mStatus != null && status.getIncarnation() != mStatus.getIncarnation();
+        boolean restarted = mStatus != null && status.getIncarnation() != mStatus.getIncarnation();
         if (restarted) {
             mFailuresInRow = 0;
             mSuspectUntilMillis = Long.MIN_VALUE;
--- a/oriolewind-core/src/main/java/org/oriolewind/placement/RepeatBudget.java
+++ b/oriolewind-core/src/main/java/org/oriolewind/placement/RepeatBudget.java
@@ -43,11 +43,7 @@
      * @param nodes the number of nodes that share the bound
      */
     public RepeatBudget(
-            NodeClock clock,
-            double share,
-            double allowance,
-            long windowMillis,
-            IntSupplier nodes) {
+            NodeClock clock, double share, double allowance, long windowMillis, IntSupplier nodes) {
         mClock = clock;
         mShare = share;
         mAllowance = allowance;
--- a/oriolewind-core/src/main/java/org/oriolewind/placement/SplitChooser.java
+++ b/oriolewind-core/src/main/java/org/oriolewind/placement/SplitChooser.java
@@ -7,8 +7,8 @@
 import org.oriolewind.policy.WeightedService;
 
 /**
- * Deals the requests of a route to its parts by their weights, evenly over time. Not safe for use by
- * several threads.
+ * Deals the requests of a route to its parts by their weights, evenly over time. Not safe for use
+ * by several threads.
  */
 public final class SplitChooser {
     private final Map<String, Dealer> mDealers = new HashMap<>();
--- a/oriolewind-core/src/main/java/org/oriolewind/trial/Trial.java
+++ b/oriolewind-core/src/main/java/org/oriolewind/trial/Trial.java
@@ -23,8 +23,8 @@
  * all nodes, and the share of the new version.
  *
  * <p>The new version keeps a small share for nearly the whole time that the operator gives, since
- * some faults begin late; only the last moments shift the rest. Invariant: once found bad, a version
- * stays so. Not safe for use by several threads.
+ * some faults begin late; only the last moments shift the rest. Invariant: once found bad, a
+ * version stays so. Not safe for use by several threads.
  */
 public final class Trial {
     /** Version under which the evidence of all old versions is counted. */
--- a/oriolewind-core/src/main/java/org/oriolewind/trial/TrialBook.java
+++ b/oriolewind-core/src/main/java/org/oriolewind/trial/TrialBook.java
@@ -43,8 +43,7 @@
 
     private void onOrder(String service, TrialOrder order) {
         Trial trial = mTrials.get(service);
-        boolean same =
-                trial != null && trial.order().targetVersion().equals(order.targetVersion());
+        boolean same = trial != null && trial.order().targetVersion().equals(order.targetVersion());
         if (same) {
             trial.update(order);
         } else {
@@ -67,9 +66,7 @@
      */
     public TrialShare share(String service) {
         Trial trial = mTrials.get(service);
-        return trial == null
-                ? TrialShare.ANY
-                : trial.share(mRandom, mClock.monotonicMillis());
+        return trial == null ? TrialShare.ANY : trial.share(mRandom, mClock.monotonicMillis());
     }
 
     /**
--- a/oriolewind-core/src/test/java/org/oriolewind/dispatch/RoutedRequestTest.java
+++ b/oriolewind-core/src/test/java/org/oriolewind/dispatch/RoutedRequestTest.java
@@ -127,8 +127,7 @@
     }
 
     private void know() {
-        mView.replace(
-                DocumentKind.CONFIG, 1, List.of(FakeDecoder.document("main", 1, "1")));
+        mView.replace(DocumentKind.CONFIG, 1, List.of(FakeDecoder.document("main", 1, "1")));
     }
 
     private void answer(int sending, CallAnswer answer) {
--- a/oriolewind-core/src/test/java/org/oriolewind/placement/PlacementTest.java
+++ b/oriolewind-core/src/test/java/org/oriolewind/placement/PlacementTest.java
@@ -23,8 +23,7 @@
 
     private final FakeClock mClock = new FakeClock();
     private final Fleet mFleet = new Fleet(mClock);
-    private final OperatorView mView =
-            new OperatorView(new FakeDecoder(List.of()), kind -> {});
+    private final OperatorView mView = new OperatorView(new FakeDecoder(List.of()), kind -> {});
     private final Placement mPlacement = new Placement("dc1", mClock, new Random(1), mFleet);
     private long mSequence;
 
@@ -105,8 +104,7 @@
     @Test
     void evacuatedDataCentreGetsNothing() {
         mFleet.onStatus(status("near", "dc1").build());
-        mView.apply(
-                DocumentKind.EVACUATION, FakeDecoder.document("dc1", 1, ""), false, 1);
+        mView.apply(DocumentKind.EVACUATION, FakeDecoder.document("dc1", 1, ""), false, 1);
         assertEquals(Optional.empty(), choose());
     }
 
--- a/oriolewind-core/src/test/java/org/oriolewind/placement/SplitChooserTest.java
+++ b/oriolewind-core/src/test/java/org/oriolewind/placement/SplitChooserTest.java
@@ -25,9 +25,7 @@
                         500,
                         0,
                         1,
-                        List.of(
-                                new WeightedService("a", first),
-                                new WeightedService("b", second)));
+                        List.of(new WeightedService("a", first), new WeightedService("b", second)));
         SplitChooser chooser = new SplitChooser();
         Map<String, Integer> counts = new HashMap<>();
         int requests = 0;
--- a/oriolewind-core/src/test/java/org/oriolewind/policy/FakeDecoder.java
+++ b/oriolewind-core/src/test/java/org/oriolewind/policy/FakeDecoder.java
@@ -49,8 +49,7 @@
     @Override
     public Optional<TrafficPolicy> policy(OperatorDocument document) {
         long version = Long.parseLong(document.content().toStringUtf8());
-        return Optional.of(
-                new TrafficPolicy(version, mRoutes, Map.of(), ClientLimits.DEFAULT));
+        return Optional.of(new TrafficPolicy(version, mRoutes, Map.of(), ClientLimits.DEFAULT));
     }
 
     @Override
--- a/oriolewind-core/src/test/java/org/oriolewind/policy/OperatorViewTest.java
+++ b/oriolewind-core/src/test/java/org/oriolewind/policy/OperatorViewTest.java
@@ -96,8 +96,7 @@
     void longestPrefixWins() {
         mView.replace(DocumentKind.CONFIG, 5, config(5, 7));
         TrafficPolicy policy = mView.policy().orElseThrow();
-        assertEquals(
-                "r/a/b/", policy.route(FakeDecoder.HOST, "/a/b/c").orElseThrow().name());
+        assertEquals("r/a/b/", policy.route(FakeDecoder.HOST, "/a/b/c").orElseThrow().name());
         assertEquals("r/a/", policy.route(FakeDecoder.HOST, "/a/bc").orElseThrow().name());
         assertTrue(policy.route(FakeDecoder.HOST, "/a").isEmpty());
         assertTrue(policy.route("other.example", "/a/").isEmpty());
--- a/oriolewind-node/src/main/java/org/oriolewind/node/Node.java
+++ b/oriolewind-node/src/main/java/org/oriolewind/node/Node.java
@@ -217,7 +217,10 @@
         mAdminServer.start();
         mCallerServer.start();
         mEvents.record(Event.of(EventKind.NODE_STARTED, null, mSelf.getIncarnation(), null));
-        Logger.info("node {} serves callers at {}", mSettings.node(), PeerAddress.text(mSettings.caller()));
+        Logger.info(
+                "node {} serves callers at {}",
+                mSettings.node(),
+                PeerAddress.text(mSettings.caller()));
     }
 
     private void afterTick() {
--- a/oriolewind-node/src/main/java/org/oriolewind/node/call/MeshPeers.java
+++ b/oriolewind-node/src/main/java/org/oriolewind/node/call/MeshPeers.java
@@ -26,9 +26,9 @@
 import org.oriolewind.wire.NotRunReason;
 
 /**
- * The links of a node to all others: one that it dials itself, for its calls and statuses, and those
- * that others dial. A link on which nothing is heard is given up, so that a silent path is found
- * within seconds. To be used on the event loop of the transport only.
+ * The links of a node to all others: one that it dials itself, for its calls and statuses, and
+ * those that others dial. A link on which nothing is heard is given up, so that a silent path is
+ * found within seconds. To be used on the event loop of the transport only.
  */
 public final class MeshPeers implements PeerPort {
     /** Streams on one link; a gate's queue is far shorter. */
@@ -146,9 +146,7 @@
             connection.send(
                     mStamp.newFrame().setNodeStatus(NodeStatus.getDefaultInstance()).build());
         } else {
-            mListener
-                    .onPull(frame.getDocumentPull().getKindsList())
-                    .forEach(connection::send);
+            mListener.onPull(frame.getDocumentPull().getKindsList()).forEach(connection::send);
         }
     }
 
@@ -208,8 +206,7 @@
         if (address.isPresent()) {
             target.mGreeted = false;
             target.mLink =
-                    new PeerCallLink(
-                            text, mSelf, mStamp, mClock, MAX_STREAMS, this::onLinkFrame);
+                    new PeerCallLink(text, mSelf, mStamp, mClock, MAX_STREAMS, this::onLinkFrame);
             PeerCallLink link = target.mLink;
             link.connect(mTransport, address.get());
         }
--- a/oriolewind-node/src/main/java/org/oriolewind/node/call/PeerCalls.java
+++ b/oriolewind-node/src/main/java/org/oriolewind/node/call/PeerCalls.java
@@ -51,7 +51,8 @@
     }
 
     private PeerCallLink newLink(String peerAddress, InetSocketAddress address) {
-        PeerCallLink link = new PeerCallLink(peerAddress, mSelf, mStamp, mClock, mMaxStreams, frame -> {});
+        PeerCallLink link =
+                new PeerCallLink(peerAddress, mSelf, mStamp, mClock, mMaxStreams, frame -> {});
         link.connect(mTransport, address);
         return link;
     }
