Explain a request from the logs of all processes

Each failed request's line now names the nodes it was sent to, what each answered, its load and limit and the time; the node beside the backend server says when a call ends there without a whole answer.

--- a/oriolewind-cli/src/main/java/org/oriolewind/cli/Oriolewind.java
+++ b/oriolewind-cli/src/main/java/org/oriolewind/cli/Oriolewind.java
@@ -29,6 +29,7 @@
                     new DataCentreCommand(),
                     new DrainCommand(),
                     new TimelineCommand(),
+                    new ExplainCommand(),
                     new ReplayCommand());
 
     private Oriolewind() {}
--- /dev/null
+++ b/oriolewind-cli/src/main/java/org/oriolewind/cli/timeline/LogLine.java
@@ -0,0 +1,21 @@
+package org.oriolewind.cli.timeline;
+
+/**
+ * One line of a process's log. Immutable.
+ *
+ * @param at the time of day, as logged
+ * @param process the process, or the file's name where lines don't name one
+ * @param message the message
+ */
+public record LogLine(String at, String process, String message) {
+    /**
+     * Returns whether the line tells the end of a request: its id, method, host and path, then the
+     * outcome and the time it took.
+     *
+     * @param id the request's id
+     * @return true if it does
+     */
+    public boolean endsRequest(String id) {
+        return message.startsWith("request " + id + " ") && message.contains(" ms: route ");
+    }
+}
--- /dev/null
+++ b/oriolewind-cli/src/test/java/org/oriolewind/cli/ExplainCommandTest.java
@@ -0,0 +1,64 @@
+package org.oriolewind.cli;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.ByteArrayOutputStream;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+class ExplainCommandTest {
+    @TempDir private Path mDir;
+
+    private final ByteArrayOutputStream mOut = new ByteArrayOutputStream();
+
+    private ExitStatus explain(String... arguments) {
+        PrintStream out = new PrintStream(mOut, true, StandardCharsets.UTF_8);
+        String[] all = new String[arguments.length + 1];
+        all[0] = "explain";
+        System.arraycopy(arguments, 0, all, 1, arguments.length);
+        return Oriolewind.run(all, Map.of(), out, out);
+    }
+
+    private String file(String name, String... lines) throws Exception {
+        return Files.write(mDir.resolve(name), List.of(lines)).toString();
+    }
+
+    @Test
+    void putsTheLinesOfAllProcessesInOrderAndNamesTheOneThatEndedTheRequest() throws Exception {
+        String one =
+                file(
+                        "all.log",
+                        "  2.5 node-b {\"at\":\"2026-01-01T00:00:02Z\",\"message\":\"request r1 GET"
+                                + " h/x: refused after 9 ms: route r; why\"}",
+                        "  2.4 node-c {\"at\":\"2026-01-01T00:00:01Z\",\"message\":\"request r1"
+                                + " goes on from node-a: why\"}",
+                        "  2.4 node-c {\"at\":\"2026-01-01T00:00:01Z\",\"message\":\"request r12"
+                                + " goes on\"}",
+                        "  2.4 node-c {\"at\":\"2026-01-01T00:00:0");
+        assertEquals(ExitStatus.OK, explain("r1", one));
+        assertEquals(
+                "2026-01-01T00:00:01Z node-c request r1 goes on from node-a: why\n"
+                    + "2026-01-01T00:00:02Z node-b request r1 GET h/x: refused after 9 ms: route r;"
+                    + " why\n"
+                    + "ended by node-b\n",
+                mOut.toString(StandardCharsets.UTF_8));
+    }
+
+    @Test
+    void requestThatNoLineMentions() throws Exception {
+        assertEquals(ExitStatus.FAILED, explain("r9", file("a.log", "{\"message\":\"x\"}")));
+        assertTrue(mOut.toString(StandardCharsets.UTF_8).contains("no line mentions r9"));
+    }
+
+    @Test
+    void missingFileIsNamed() {
+        assertEquals(ExitStatus.BAD_INPUT, explain("r9", mDir.resolve("none").toString()));
+    }
+}
--- a/oriolewind-core/src/main/java/org/oriolewind/backend/BackendCall.java
+++ b/oriolewind-core/src/main/java/org/oriolewind/backend/BackendCall.java
@@ -123,6 +123,13 @@
         mService.gate().leave(route(), slow ? Optional.of(micros) : Optional.empty());
         if (!mCancelled) {
             mService.onEnded(true);
+            mService.log()
+                    .failedHere(
+                            mRequest.getCallId(),
+                            mRequest.getTargetInstance(),
+                            (timedOut ? "its time ran out" : "connection failed")
+                                    + (sent ? " after it was sent" : " before it was sent"),
+                            micros / NANOS_PER_MICRO);
         }
         if (sent) {
             mDone.accept(
--- a/oriolewind-core/src/main/java/org/oriolewind/backend/BackendService.java
+++ b/oriolewind-core/src/main/java/org/oriolewind/backend/BackendService.java
@@ -3,6 +3,7 @@
 import java.util.Optional;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
+import org.oriolewind.dispatch.RequestLog;
 import org.oriolewind.policy.OperatorView;
 import org.oriolewind.policy.ServicePolicy;
 import org.oriolewind.request.BackendPort;
@@ -34,6 +35,7 @@
     private final BackendPort mPort;
     private final Supplier<OperatorView> mView;
     private final FailureShare mFailures = new FailureShare();
+    private final RequestLog mLog;
     private boolean mLeaving;
 
     /**
@@ -45,6 +47,7 @@
      * @param gate the gate in front of it
      * @param port the way to it
      * @param view the operators' documents
+     * @param log takes what ends without a whole answer
      */
     public BackendService(
             String dataCentre,
@@ -52,13 +55,15 @@
             LocalBackend backend,
             BackendGate gate,
             BackendPort port,
-            Supplier<OperatorView> view) {
+            Supplier<OperatorView> view,
+            RequestLog log) {
         mDataCentre = dataCentre;
         mClock = clock;
         mBackend = backend;
         mGate = gate;
         mPort = port;
         mView = view;
+        mLog = log;
     }
 
     NodeClock clock() {
@@ -73,6 +78,10 @@
         return mBackend;
     }
 
+    RequestLog log() {
+        return mLog;
+    }
+
     BackendPort port() {
         return mPort;
     }
--- a/oriolewind-core/src/main/java/org/oriolewind/dispatch/RequestRouter.java
+++ b/oriolewind-core/src/main/java/org/oriolewind/dispatch/RequestRouter.java
@@ -33,7 +33,7 @@
     public Cancellable dispatch(ClientRequest request, Consumer<ClientReply> done) {
         Optional<TrafficPolicy> policy = mContext.view().policy();
         if (policy.isEmpty()) {
-            mContext.log().ended(request, "", "refused", "no configuration is known", 0);
+            mContext.log().ended(request, "", "refused", () -> "no configuration is known", 0);
             done.accept(
                     new ClientReply.NotRun(
                             NotRunReason.NOT_RUN_REASON_UNREACHABLE, NOT_READY_RETRY_MILLIS));
@@ -42,7 +42,7 @@
         Optional<TrafficRoute> route = policy.get().route(request.host(), request.path());
         if (route.isEmpty()) {
             String detail = "no route in configuration " + policy.get().version();
-            mContext.log().ended(request, "", "not found", detail, 0);
+            mContext.log().ended(request, "", "not found", () -> detail, 0);
             done.accept(new ClientReply.NoRoute());
             return () -> {};
         }
--- a/oriolewind-core/src/main/java/org/oriolewind/dispatch/RoutedRequest.java
+++ b/oriolewind-core/src/main/java/org/oriolewind/dispatch/RoutedRequest.java
@@ -1,11 +1,14 @@
 package org.oriolewind.dispatch;
 
+import java.util.ArrayList;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
 import org.oriolewind.placement.FleetMember;
+import org.oriolewind.policy.DocumentKind;
 import org.oriolewind.policy.TrafficRoute;
 import org.oriolewind.request.Cancellable;
 import org.oriolewind.trial.TrialShare;
@@ -51,6 +54,7 @@
     private final long mStartMillis;
     private final long mDeadlineMillis;
     private final Set<String> mTried = new HashSet<>();
+    private final List<String> mSteps = new ArrayList<>();
     private TrialShare mShare = TrialShare.ANY;
     private Optional<Cancellable> mSending = Optional.empty();
     private Optional<Cancellable> mTimeout = Optional.empty();
@@ -177,6 +181,12 @@
             return;
         }
         member.onAnswer(answer);
+        boolean served =
+                answer.getOutcome() == CallOutcome.CALL_OUTCOME_ANSWERED
+                        && answer.getStatus() < SERVER_ERROR;
+        if (!served) {
+            mSteps.add(step(member, answer));
+        }
         switch (answer.getOutcome()) {
             case CALL_OUTCOME_ANSWERED -> onServerAnswer(member, answer);
             case CALL_OUTCOME_NOT_RUN -> onRefusal(member, answer);
@@ -184,6 +194,23 @@
         }
     }
 
+    /** Says what one node answered and the load that it told. */
+    private String step(FleetMember member, CallAnswer answer) {
+        String outcome =
+                switch (answer.getOutcome()) {
+                    case CALL_OUTCOME_ANSWERED -> "status " + answer.getStatus();
+                    case CALL_OUTCOME_NOT_RUN -> answer.getNotRunReason().name();
+                    default -> "no whole answer";
+                };
+        return String.format(
+                "%s: %s (load %d of %d, after %d ms)",
+                member.status().getNode(),
+                outcome,
+                answer.getInFlight(),
+                answer.getLimit(),
+                mContext.clock().monotonicMillis() - mStartMillis);
+    }
+
     private void count(FleetMember member, boolean failed, CallAnswer answer) {
         BackendEntry backend = member.status().getBackend();
         mContext.trials()
@@ -313,15 +340,21 @@
         mEnded = true;
         mTimeout.ifPresent(Cancellable::cancel);
         long millis = mContext.clock().monotonicMillis() - mStartMillis;
-        String inputs =
-                detail
-                        + "; service "
-                        + mService
-                        + ", configuration "
-                        + mConfigVersion
-                        + ", sent to "
-                        + mTried;
-        mContext.log().ended(mRequest, mRoute.name(), outcome, inputs, millis);
+        mContext.log().ended(mRequest, mRoute.name(), outcome, () -> inputs(detail), millis);
+    }
+
+    private String inputs(String detail) {
+        return detail
+                + "; service "
+                + mService
+                + ", configuration "
+                + mConfigVersion
+                + ", known "
+                + mContext.view().revision(DocumentKind.CONFIG)
+                + ", tried "
+                + mTried
+                + " "
+                + mSteps;
     }
 
     @Override
--- a/oriolewind-core/src/test/java/org/oriolewind/dispatch/RoutedRequestTest.java
+++ b/oriolewind-core/src/test/java/org/oriolewind/dispatch/RoutedRequestTest.java
@@ -10,6 +10,7 @@
 import java.util.OptionalLong;
 import java.util.Random;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -59,7 +60,11 @@
     private final class NoLog implements RequestLog {
         @Override
         public void ended(
-                ClientRequest request, String route, String outcome, String detail, long millis) {
+                ClientRequest request,
+                String route,
+                String outcome,
+                Supplier<String> detail,
+                long millis) {
             // Outcomes are judged by the replies.
         }
 
@@ -67,6 +72,11 @@
         public void sentAgain(String requestId, String node, String reason) {
             // Sendings are judged at the peers.
         }
+
+        @Override
+        public void failedHere(String requestId, String instance, String reason, long millis) {
+            // No call ends here.
+        }
     }
 
     @BeforeEach
