--- a/oriolewind-core/src/main/java/org/oriolewind/backend/BackendService.java
+++ b/oriolewind-core/src/main/java/org/oriolewind/backend/BackendService.java
@@ -37,6 +37,8 @@
     private final FailureShare mFailures = new FailureShare();
     private final RequestLog mLog;
     private boolean mLeaving;
+    private boolean mOut;
+    private Optional<BackendReport> mLatestWhileOut = Optional.empty();
 
     /**
      * Creates a service.
@@ -97,6 +99,7 @@
      * each change of them and several times a second.
      */
     public void refresh() {
+        noteOut();
         if (mLeaving || mBackend.isReady() && isOut()) {
             mGate.close(
                     mLeaving
@@ -114,12 +117,28 @@
         }
     }
 
+    /**
+     * A backend server whose data centre was out may have turned cold since its latest heartbeat; it
+     * counts as cold until the next one.
+     */
+    private void noteOut() {
+        boolean out = isOut();
+        if (mOut || out) {
+            mOut = out;
+            mLatestWhileOut = mBackend.latest();
+        }
+    }
+
+    private boolean mayBeCold() {
+        return mBackend.isCold() || mBackend.latest().equals(mLatestWhileOut);
+    }
+
     private boolean isOut() {
         return mView.get().isOut(mDataCentre);
     }
 
     private Optional<Double> coldPerSecond(BackendReport report) {
-        if (!mBackend.isCold()) {
+        if (!mayBeCold()) {
             return Optional.empty();
         }
         double rate =
@@ -167,7 +186,7 @@
         return answer.setLimit(mGate.limit())
                 .setInFlight(mGate.load())
                 .setMeanServiceMicros(mGate.meanMicros())
-                .setCold(mBackend.isCold())
+                .setCold(mayBeCold())
                 .build();
     }
 
--- a/oriolewind-core/src/main/java/org/oriolewind/dispatch/RoutedRequest.java
+++ b/oriolewind-core/src/main/java/org/oriolewind/dispatch/RoutedRequest.java
@@ -14,6 +14,7 @@
 import org.oriolewind.trial.TrialShare;
 import org.oriolewind.wire.BackendEntry;
 import org.oriolewind.wire.CallAnswer;
+import org.oriolewind.wire.CallOutcome;
 import org.oriolewind.wire.CallRequest;
 import org.oriolewind.wire.NotRunReason;
 
--- a/oriolewind-core/src/main/java/org/oriolewind/placement/Fleet.java
+++ b/oriolewind-core/src/main/java/org/oriolewind/placement/Fleet.java
@@ -12,7 +12,8 @@
 /**
  * The nodes that this one has heard of, itself included. Not safe for use by several threads.
  *
- * <p>Invariant: a status of an earlier incarnation, or an earlier one of the same, is ignored.
+ * <p>Invariant: an earlier status of the same incarnation is ignored, and so is one of an earlier
+ * incarnation while the later one is heard.
  */
 public final class Fleet {
     /**
@@ -53,8 +54,10 @@
             return true;
         }
         NodeStatus latest = member.status();
+        // A clock that was set back gives a later life a lower number; the earlier one is silent then.
+        boolean silent = member.silentMillis(now) > SILENT_MILLIS;
         boolean older =
-                status.getIncarnation() < latest.getIncarnation()
+                status.getIncarnation() < latest.getIncarnation() && !silent
                         || known && status.getSequence() <= latest.getSequence();
         if (older) {
             return false;
--- /dev/null
+++ b/oriolewind-core/src/test/java/org/oriolewind/backend/BackendServiceTest.java
@@ -0,0 +1,135 @@
+package org.oriolewind.backend;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.google.protobuf.ByteString;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Supplier;
+import org.junit.jupiter.api.Test;
+import org.oriolewind.dispatch.ClientRequest;
+import org.oriolewind.dispatch.RequestLog;
+import org.oriolewind.policy.DocumentKind;
+import org.oriolewind.policy.FakeDecoder;
+import org.oriolewind.policy.OperatorView;
+import org.oriolewind.request.BackendPort;
+import org.oriolewind.request.Cancellable;
+import org.oriolewind.time.FakeClock;
+import org.oriolewind.time.FakeTimers;
+import org.oriolewind.wire.CallAnswer;
+import org.oriolewind.wire.CallRequest;
+import org.oriolewind.wire.NotRunReason;
+
+class BackendServiceTest {
+    private static final String ADDRESS = "10.0.0.1:80";
+
+    private final FakeClock mClock = new FakeClock();
+    private final FakeTimers mTimers = new FakeTimers(mClock);
+    private final OperatorView mView = new OperatorView(new FakeDecoder(List.of()), kind -> {});
+    private final LocalBackend mBackend = new LocalBackend(mClock, ADDRESS, 1500);
+    private final List<Long> mHandedOver = new ArrayList<>();
+    private final List<CallAnswer> mAnswers = new ArrayList<>();
+    private final BackendService mService =
+            new BackendService(
+                    "dc1",
+                    mClock,
+                    mBackend,
+                    new BackendGate(mClock, mTimers),
+                    this::send,
+                    () -> mView,
+                    new NoLog());
+    private int mSequence;
+
+    private static final class NoLog implements RequestLog {
+        @Override
+        public void ended(
+                ClientRequest request,
+                String route,
+                String outcome,
+                Supplier<String> detail,
+                long millis) {
+            // Judged by the answers.
+        }
+
+        @Override
+        public void sentAgain(String requestId, String node, String reason) {
+            // Judged by the answers.
+        }
+
+        @Override
+        public void failedHere(String requestId, String instance, String reason, long millis) {
+            // Judged by the answers.
+        }
+    }
+
+    private Cancellable send(CallRequest call, long timeoutMillis, BackendPort.Listener listener) {
+        mHandedOver.add(mClock.monotonicMillis());
+        mTimers.schedule(20, () -> listener.onAnswer(200, List.of(), ByteString.EMPTY));
+        return () -> {};
+    }
+
+    private void report(String instance, long coldMillis) {
+        mBackend.onReport(
+                new BackendReport(
+                        instance, 1, ADDRESS, "s", "v1", 50, false, ++mSequence, coldMillis));
+        mService.refresh();
+    }
+
+    private void call(String instance) {
+        CallRequest request =
+                CallRequest.newBuilder()
+                        .setService("s")
+                        .setTargetInstance(instance)
+                        .setRoute("r")
+                        .setTimeoutMillis(3000)
+                        .setAimMillis(3000)
+                        .build();
+        mService.serve(request, mAnswers::add);
+    }
+
+    private void evacuate(boolean out, long revision) {
+        mView.apply(
+                DocumentKind.EVACUATION, FakeDecoder.document("dc1", revision, ""), !out, revision);
+        mService.refresh();
+    }
+
+    @Test
+    void callForAnotherInstanceIsNotHandedOver() {
+        report("a", 0);
+        call("b");
+        assertEquals(
+                NotRunReason.NOT_RUN_REASON_WRONG_TARGET, mAnswers.get(0).getNotRunReason());
+        assertTrue(mHandedOver.isEmpty());
+    }
+
+    @Test
+    void dataCentreThatIsOutTakesNothing() {
+        report("a", 0);
+        evacuate(true, 1);
+        call("a");
+        assertEquals(
+                NotRunReason.NOT_RUN_REASON_DATA_CENTRE_OUT, mAnswers.get(0).getNotRunReason());
+    }
+
+    /** Load pattern: all senders turn back to a data centre at the moment it is taken back. */
+    @Test
+    void backendServerCountsAsColdAfterItsDataCentreWasOutUntilItReports() {
+        report("a", 0);
+        evacuate(true, 1);
+        mClock.advanceMillis(1000);
+        evacuate(false, 2);
+        for (int i = 0; i < 40; i++) {
+            call("a");
+            mTimers.advance(10);
+        }
+        assertTrue(mHandedOver.size() <= 7, mHandedOver.size() + " in 0.4 s");
+        report("a", 0);
+        int before = mHandedOver.size();
+        for (int i = 0; i < 40; i++) {
+            call("a");
+            mTimers.advance(10);
+        }
+        assertTrue(mHandedOver.size() - before >= 40, "all once it says that it is warm");
+    }
+}
--- a/oriolewind-core/src/test/java/org/oriolewind/placement/PlacementTest.java
+++ b/oriolewind-core/src/test/java/org/oriolewind/placement/PlacementTest.java
@@ -122,4 +122,14 @@
         mFleet.onStatus(old);
         assertTrue(mFleet.serving("s").isEmpty());
     }
+
+    @Test
+    void lifeThatBeganOnAClockSetBackIsTakenOnceTheEarlierOneIsSilent() {
+        mFleet.onStatus(status("near", "dc1").setIncarnation(5000).build());
+        mFleet.onStatus(status("near", "dc1").setIncarnation(4000).setLeaving(true).build());
+        assertEquals(Optional.of("near"), choose());
+        mClock.advanceMillis(Fleet.SILENT_MILLIS + 1);
+        mFleet.onStatus(status("near", "dc1").setIncarnation(4000).build());
+        assertEquals(Optional.of("near"), choose());
+    }
 }
