--- a/oriolewind-core/src/main/java/org/oriolewind/backend/BackendService.java
+++ b/oriolewind-core/src/main/java/org/oriolewind/backend/BackendService.java
@@ -118,8 +118,8 @@
     }
 
     /**
-     * A backend server whose data centre was out may have turned cold since its latest heartbeat; it
-     * counts as cold until the next one.
+     * A backend server whose data centre was out may have turned cold since its latest heartbeat;
+     * it counts as cold until the next one.
      */
     private void noteOut() {
         boolean out = isOut();
--- a/oriolewind-core/src/main/java/org/oriolewind/placement/Fleet.java
+++ b/oriolewind-core/src/main/java/org/oriolewind/placement/Fleet.java
@@ -54,7 +54,8 @@
             return true;
         }
         NodeStatus latest = member.status();
-        // A clock that was set back gives a later life a lower number; the earlier one is silent then.
+        // A clock that was set back gives a later life a lower number; the earlier one is silent
+        // then.
         boolean silent = member.silentMillis(now) > SILENT_MILLIS;
         boolean older =
                 status.getIncarnation() < latest.getIncarnation() && !silent
--- a/oriolewind-core/src/test/java/org/oriolewind/backend/BackendServiceTest.java
+++ b/oriolewind-core/src/test/java/org/oriolewind/backend/BackendServiceTest.java
@@ -98,8 +98,7 @@
     void callForAnotherInstanceIsNotHandedOver() {
         report("a", 0);
         call("b");
-        assertEquals(
-                NotRunReason.NOT_RUN_REASON_WRONG_TARGET, mAnswers.get(0).getNotRunReason());
+        assertEquals(NotRunReason.NOT_RUN_REASON_WRONG_TARGET, mAnswers.get(0).getNotRunReason());
         assertTrue(mHandedOver.isEmpty());
     }
 
