Estimate the wait at the gate by slots coming free; rank before aim

The gate took half of all work in flight as the wait for the next slot (275 ms for nine slots of 550 ms; one comes free each 61 ms), judged calls of the highest rank by their aim although others wait for them, and put rank behind aim. Both new tests failed before.

--- a/oriolewind-core/src/main/java/org/oriolewind/backend/BackendGate.java
+++ b/oriolewind-core/src/main/java/org/oriolewind/backend/BackendGate.java
@@ -24,6 +24,8 @@
     /** Share of the mean service time that a call must have left to be worth starting. */
     private static final double MIN_TIME_LEFT_SHARE = 0.5;
 
+    private static final int HIGHEST_RANK = 0;
+
     /** Longest queue, against bursts of callers whose aims are long. */
     private static final int MAX_WAITING = 200;
 
@@ -109,9 +111,13 @@
         return now + waitMillis(call, now) + mTimes.millis(call.route()) - targetMillis(call, now);
     }
 
-    /** The aim if the call could meet it without waiting, else its deadline. */
+    /**
+     * The aim if the call could meet it without waiting, else its deadline. Calls of the highest
+     * rank are given until their deadline, as others may wait for them with work already done.
+     */
     private long targetMillis(GatedCall call, long now) {
-        return now + mTimes.millis(call.route()) <= call.aimMillis()
+        boolean mayMeetAim = now + mTimes.millis(call.route()) <= call.aimMillis();
+        return mayMeetAim && call.priority() > HIGHEST_RANK
                 ? call.aimMillis()
                 : call.deadlineMillis();
     }
@@ -130,8 +136,8 @@
     }
 
     private long waitMillis(GatedCall call, long now) {
-        // On average half of each call in flight is still to be done.
-        long workMillis = mInFlight < mLimit ? 0 : mWorkInFlightMillis / 2;
+        // With all slots taken, one comes free each mean service time divided by their number.
+        long workMillis = mInFlight < mLimit ? 0 : mWorkInFlightMillis / Math.max(1, mInFlight);
         int ahead = 0;
         for (GatedCall waiting : mWaiting) {
             if (isBefore(waiting, call, now)) {
@@ -149,14 +155,14 @@
     }
 
     private boolean isBefore(GatedCall one, GatedCall other, long now) {
+        if (one.priority() != other.priority()) {
+            return one.priority() < other.priority();
+        }
         boolean oneInAim = now + mTimes.millis(one.route()) <= one.aimMillis();
         boolean otherInAim = now + mTimes.millis(other.route()) <= other.aimMillis();
         if (oneInAim != otherInAim) {
             return oneInAim;
         }
-        if (one.priority() != other.priority()) {
-            return one.priority() < other.priority();
-        }
         return one.aimMillis() <= other.aimMillis();
     }
 
--- a/oriolewind-core/src/test/java/org/oriolewind/backend/BackendGateTest.java
+++ b/oriolewind-core/src/test/java/org/oriolewind/backend/BackendGateTest.java
@@ -134,6 +134,35 @@
         assertEquals(0, mGate.inFlight());
     }
 
+    /**
+     * Load pattern: long calls keep all slots busy, and short ones of the highest rank arrive, each
+     * made by a call that fails without it.
+     */
+    @Test
+    void callsOfTheHighestRankAreNotRefusedForTheirAim() {
+        open(9);
+        for (int i = 0; i < 60; i++) {
+            enter("long", 500, 3000, 2);
+            enter("long", 500, 3000, 2);
+            enter("short", 120, 600, 0);
+            mTimers.advance(25);
+        }
+        assertTrue(mRefused.stream().noneMatch(r -> r.startsWith("short")), mRefused.toString());
+    }
+
+    /** Load pattern: calls arrive as fast as the slots come free, with one more than slots. */
+    @Test
+    void callIsNotRefusedWhenASlotComesFreeInTime() {
+        open(5);
+        for (int i = 0; i < 5; i++) {
+            enter("running" + i, 1000, 1000, 1);
+            mTimers.advance(15);
+        }
+        enter("one more", 140, 1000, 1);
+        mTimers.advance(SERVICE_MILLIS);
+        assertEquals(List.of(), mRefused);
+    }
+
     /** Load pattern: a data centre comes back cold and all senders turn to it at once. */
     @ParameterizedTest
     @ValueSource(doubles = {2, 6.1, 7.3})
