--- a/oriolewind-core/src/test/java/org/oriolewind/dispatch/RoutedRequestTest.java
+++ b/oriolewind-core/src/test/java/org/oriolewind/dispatch/RoutedRequestTest.java
@@ -15,6 +15,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.oriolewind.placement.Fleet;
 import org.oriolewind.placement.Placement;
 import org.oriolewind.placement.RepeatBudget;
@@ -253,6 +254,27 @@
         assertEquals(500, ((ClientReply.Answered) mReplies.get(0)).status());
     }
 
+    /**
+     * Load pattern: all backend servers of a service fail half of their calls; repeats add to it.
+     */
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void nothingIsRepeatedWhereOthersFailToo(boolean shed) {
+        for (String node : List.of("a", "b", "c")) {
+            NodeStatus known = mFleet.member(node).orElseThrow().status();
+            mFleet.onStatus(known.toBuilder().setSequence(2).setFailurePermille(500).build());
+        }
+        know();
+        dispatch(SAFE + "x");
+        answer(
+                0,
+                shed
+                        ? CallAnswers.notRun(NotRunReason.NOT_RUN_REASON_REFUSED_BY_BACKEND)
+                        : answered(500));
+        assertEquals(1, mSendings.size());
+        assertEquals(1, mReplies.size());
+    }
+
     @Test
     void unsafeFailureOfTheBackendServerIsPassedOn() {
         know();
