--- a/oriolewind-core/src/main/java/org/oriolewind/backend/BackendGate.java
+++ b/oriolewind-core/src/main/java/org/oriolewind/backend/BackendGate.java
@@ -37,7 +37,7 @@
     private int mLimit = 1;
     private int mInFlight;
     private long mWorkInFlightMillis;
-    private Optional<Double> mColdPerSecond = Optional.empty();
+    private Optional<Integer> mColdPerSecond = Optional.empty();
     private Optional<NotRunReason> mClosed = Optional.of(NotRunReason.NOT_RUN_REASON_UNREACHABLE);
     private Optional<Cancellable> mWakeUp = Optional.empty();
 
@@ -58,7 +58,7 @@
      * @param limit calls in flight at most
      * @param coldPerSecond requests a second while the backend server is cold, empty if it is warm
      */
-    public void open(int limit, Optional<Double> coldPerSecond) {
+    public void open(int limit, Optional<Integer> coldPerSecond) {
         mLimit = Math.max(1, limit);
         mColdPerSecond = coldPerSecond;
         mClosed = Optional.empty();
@@ -149,7 +149,7 @@
         int position = ahead;
         long byColdness =
                 mColdPerSecond
-                        .map(rate -> coldWaitMillis(now) + (long) (position * 1000 / rate))
+                        .map(rate -> coldWaitMillis(now) + position * 1000L / rate)
                         .orElse(0L);
         return Math.max(bySlots, byColdness);
     }
--- a/oriolewind-core/src/main/java/org/oriolewind/backend/BackendService.java
+++ b/oriolewind-core/src/main/java/org/oriolewind/backend/BackendService.java
@@ -20,15 +20,11 @@
  * through the gate and hands them over. Not safe for use by several threads.
  */
 public final class BackendService implements CallServer {
-    /**
-     * Share of the cold rate that operators name which is used, so that bounds hold at all times.
-     */
-    private static final double COLD_RATE_SHARE = 1.2;
-
     /** Rate for cold backend servers of which operators say nothing. */
     private static final double DEFAULT_COLD_PER_SECOND = 5;
 
     private final String mDataCentre;
+    private final ColdBound mColdBound;
     private final NodeClock mClock;
     private final LocalBackend mBackend;
     private final BackendGate mGate;
@@ -44,6 +40,7 @@
      * Creates a service.
      *
      * @param dataCentre this node's data centre
+     * @param coldBound what a cold backend server bears
      * @param clock the clock
      * @param backend what is known of the backend server
      * @param gate the gate in front of it
@@ -53,6 +50,7 @@
      */
     public BackendService(
             String dataCentre,
+            ColdBound coldBound,
             NodeClock clock,
             LocalBackend backend,
             BackendGate gate,
@@ -60,6 +58,7 @@
             Supplier<OperatorView> view,
             RequestLog log) {
         mDataCentre = dataCentre;
+        mColdBound = coldBound;
         mClock = clock;
         mBackend = backend;
         mGate = gate;
@@ -137,7 +136,7 @@
         return mView.get().isOut(mDataCentre);
     }
 
-    private Optional<Double> coldPerSecond(BackendReport report) {
+    private Optional<Integer> coldPerSecond(BackendReport report) {
         if (!mayBeCold()) {
             return Optional.empty();
         }
@@ -148,7 +147,7 @@
                         .map(ServicePolicy::coldPerSecond)
                         .filter(r -> r > 0)
                         .orElse(DEFAULT_COLD_PER_SECOND);
-        return Optional.of(rate * COLD_RATE_SHARE);
+        return Optional.of(mColdBound.requests(rate));
     }
 
     @Override
--- a/oriolewind-core/src/main/java/org/oriolewind/backend/ColdLimiter.java
+++ b/oriolewind-core/src/main/java/org/oriolewind/backend/ColdLimiter.java
@@ -7,7 +7,11 @@
  * threads.
  */
 public final class ColdLimiter {
-    private static final long WINDOW_MILLIS = 1000;
+    /**
+     * The bound holds for each second in which requests arrive; a tenth more lets them arrive up to
+     * that much later than they were handed over.
+     */
+    private static final long WINDOW_MILLIS = 1100;
 
     private final ArrayDeque<Long> mAdmitted = new ArrayDeque<>();
 
@@ -31,12 +35,12 @@
      * Returns how long a cold backend server must be spared.
      *
      * @param nowMillis monotonic time
-     * @param perSecond requests that it bears in a second
+     * @param perWindow requests that it bears in a second
      * @return 0 if it can take one now, else the time until then in milliseconds
      */
-    public long waitMillis(long nowMillis, double perSecond) {
+    public long waitMillis(long nowMillis, int perWindow) {
         forget(nowMillis);
-        int room = Math.max(1, (int) perSecond);
+        int room = Math.max(1, perWindow);
         if (mAdmitted.size() < room) {
             return 0;
         }
--- a/oriolewind-core/src/main/java/org/oriolewind/dispatch/RoutedRequest.java
+++ b/oriolewind-core/src/main/java/org/oriolewind/dispatch/RoutedRequest.java
@@ -151,6 +151,7 @@
         return mContext.placement()
                 .choose(
                         mService,
+                        mRoute.name(),
                         versions,
                         mContext.view(),
                         mTried,
@@ -181,7 +182,7 @@
         if (mEnded) {
             return;
         }
-        member.onAnswer(answer);
+        member.onAnswer(mRoute.name(), answer);
         boolean served =
                 answer.getOutcome() == CallOutcome.CALL_OUTCOME_ANSWERED
                         && answer.getStatus() < SERVER_ERROR;
--- a/oriolewind-core/src/main/java/org/oriolewind/placement/Fleet.java
+++ b/oriolewind-core/src/main/java/org/oriolewind/placement/Fleet.java
@@ -23,6 +23,7 @@
     public static final long SILENT_MILLIS = 2500;
 
     private final NodeClock mClock;
+    private final RouteCosts mRouteCosts = new RouteCosts();
     private final Map<String, FleetMember> mMembers = new TreeMap<>();
 
     /**
@@ -50,7 +51,7 @@
             return false;
         }
         if (member == null) {
-            mMembers.put(status.getNode(), new FleetMember(status, now));
+            mMembers.put(status.getNode(), new FleetMember(status, mRouteCosts, now));
             return true;
         }
         NodeStatus latest = member.status();
--- a/oriolewind-core/src/main/java/org/oriolewind/placement/FleetMember.java
+++ b/oriolewind-core/src/main/java/org/oriolewind/placement/FleetMember.java
@@ -17,6 +17,9 @@
     /** Assumed service time of a backend server that has not answered yet, in milliseconds. */
     private static final double UNKNOWN_SERVICE_MILLIS = 200;
 
+    private static final double MICROS_PER_MILLI = 1000.0;
+
+    private final RouteCosts mRouteCosts;
     private NodeStatus mStatus;
     private long mHeardMillis;
     private int mLimit;
@@ -28,7 +31,8 @@
     private long mSuspectUntilMillis = Long.MIN_VALUE;
     private long mLastSentMillis = Long.MIN_VALUE / 2;
 
-    FleetMember(NodeStatus status, long nowMillis) {
+    FleetMember(NodeStatus status, RouteCosts routeCosts, long nowMillis) {
+        mRouteCosts = routeCosts;
         onStatus(status, nowMillis);
     }
 
@@ -62,11 +66,13 @@
     }
 
     /**
-     * Takes the load that an answer carries.
+     * Takes the load that an answer carries, and the time that its route took.
      *
+     * @param route the route's name
      * @param answer the answer
      */
-    public void onAnswer(CallAnswer answer) {
+    public void onAnswer(String route, CallAnswer answer) {
+        mRouteCosts.onAnswer(route, answer);
         if (answer.getLimit() > 0) {
             report(answer.getLimit(), answer.getInFlight(), answer.getMeanServiceMicros());
             mFailuresInRow = 0;
@@ -140,23 +146,16 @@
     }
 
     /**
-     * Returns the time that a call sent now is expected to take there.
+     * Returns the time that a call sent now is expected to take there: its wait for a slot and the
+     * time of its own route.
      *
+     * @param route the route's name
      * @return milliseconds
      */
-    public double expectedMillis() {
-        double service = mMeanMicros > 0 ? mMeanMicros / 1000.0 : UNKNOWN_SERVICE_MILLIS;
-        double load = mLoad + mSentSinceReport + 1;
-        return service * Math.max(1, load / mLimit);
-    }
-
-    /**
-     * Returns whether the next call would wait there.
-     *
-     * @return true if all its slots are taken
-     */
-    public boolean isFull() {
-        return mLoad + mSentSinceReport >= mLimit;
+    public double expectedMillis(String route) {
+        double mean = mMeanMicros > 0 ? mMeanMicros / MICROS_PER_MILLI : UNKNOWN_SERVICE_MILLIS;
+        double ahead = Math.max(0, mLoad + mSentSinceReport + 1 - mLimit);
+        return mean * (ahead / mLimit + mRouteCosts.multiple(route).orElse(1.0));
     }
 
     /**
--- a/oriolewind-core/src/main/java/org/oriolewind/placement/Placement.java
+++ b/oriolewind-core/src/main/java/org/oriolewind/placement/Placement.java
@@ -56,6 +56,7 @@
      * Chooses a node.
      *
      * @param service the service
+     * @param route the call's route
      * @param versions the versions that may take the call
      * @param view the operators' documents
      * @param tried nodes that this call was sent to before
@@ -65,6 +66,7 @@
      */
     public Optional<FleetMember> choose(
             String service,
+            String route,
             Predicate<String> versions,
             OperatorView view,
             Set<String> tried,
@@ -90,16 +92,17 @@
                 }
             }
         }
-        return cheapest(pool, Math.max(1, aimMillis));
+        return cheapest(pool, route, Math.max(1, aimMillis));
     }
 
-    private Optional<FleetMember> cheapest(List<FleetMember> pool, long aimMillis) {
+    private Optional<FleetMember> cheapest(
+            List<FleetMember> pool, String route, long aimMillis) {
         FleetMember best = null;
         FleetMember bestLocal = null;
         double bestCost = Double.MAX_VALUE;
         double bestLocalCost = Double.MAX_VALUE;
         for (FleetMember member : pool) {
-            double cost = cost(member, aimMillis);
+            double cost = cost(member, route, aimMillis);
             if (isLocal(member) && cost < bestLocalCost) {
                 bestLocal = member;
                 bestLocalCost = cost;
@@ -116,8 +119,8 @@
         return Optional.ofNullable(best);
     }
 
-    private double cost(FleetMember member, long aimMillis) {
-        double expected = member.expectedMillis();
+    private double cost(FleetMember member, String route, long aimMillis) {
+        double expected = member.expectedMillis(route);
         if (member.status().getBackend().getColdMillis() > 0) {
             expected *= COLD_FACTOR;
         }
--- a/oriolewind-core/src/test/java/org/oriolewind/backend/BackendServiceTest.java
+++ b/oriolewind-core/src/test/java/org/oriolewind/backend/BackendServiceTest.java
@@ -33,6 +33,7 @@
     private final BackendService mService =
             new BackendService(
                     "dc1",
+                    new ColdBound(1.5, 0),
                     mClock,
                     mBackend,
                     new BackendGate(mClock, mTimers),
