Keep a late heartbeat from reopening a backend server after its node's restart; don't end calls at a slow node

Two ways to it in the code: a leave names no start, so a process that has not heard of the instance recorded its end as 0 and took any later heartbeat; and a process that starts after its predecessor acknowledged a leave trusts a heartbeat that was held up. Now a leave without a start ends all lives that can have begun, and the first backend server that a process hears of is confirmed by a health check, or by heartbeats that go on. Ruled out: senders (the request passed the gate of the same machine).

Now the calls stay outstanding and the sender moves one only if route, budget and placement allow it.

--- a/oriolewind-core/src/main/java/org/oriolewind/backend/BackendService.java
+++ b/oriolewind-core/src/main/java/org/oriolewind/backend/BackendService.java
@@ -11,6 +11,8 @@
 import org.oriolewind.request.CallServer;
 import org.oriolewind.request.Cancellable;
 import org.oriolewind.time.NodeClock;
+import org.oriolewind.wire.BackendEntry;
+import org.oriolewind.wire.BackendPhase;
 import org.oriolewind.wire.CallAnswer;
 import org.oriolewind.wire.CallRequest;
 import org.oriolewind.wire.NotRunReason;
@@ -31,6 +33,7 @@
     private final BackendPort mPort;
     private final Supplier<OperatorView> mView;
     private final FailureShare mFailures = new FailureShare();
+    private final RestartCheck mRestartCheck;
     private final RequestLog mLog;
     private boolean mLeaving;
     private boolean mOut;
@@ -46,6 +49,7 @@
      * @param gate the gate in front of it
      * @param port the way to it
      * @param view the operators' documents
+     * @param restartCheck confirms the first backend server that is heard of
      * @param log takes what ends without a whole answer
      */
     public BackendService(
@@ -56,6 +60,7 @@
             BackendGate gate,
             BackendPort port,
             Supplier<OperatorView> view,
+            RestartCheck restartCheck,
             RequestLog log) {
         mDataCentre = dataCentre;
         mColdBound = coldBound;
@@ -64,6 +69,7 @@
         mGate = gate;
         mPort = port;
         mView = view;
+        mRestartCheck = restartCheck;
         mLog = log;
     }
 
@@ -99,12 +105,13 @@
      */
     public void refresh() {
         noteOut();
-        if (mLeaving || mBackend.isReady() && isOut()) {
+        updateRestartCheck();
+        if (mLeaving || isReady() && isOut()) {
             mGate.close(
                     mLeaving
                             ? NotRunReason.NOT_RUN_REASON_LEAVING
                             : NotRunReason.NOT_RUN_REASON_DATA_CENTRE_OUT);
-        } else if (mBackend.isReady()) {
+        } else if (isReady()) {
             BackendReport report = mBackend.latest().orElseThrow();
             mGate.open(report.slots(), coldPerSecond(report));
         } else {
@@ -116,6 +123,39 @@
         }
     }
 
+    private boolean isReady() {
+        return mBackend.isReady() && mBackend.latest().filter(mRestartCheck::isPassed).isPresent();
+    }
+
+    private void updateRestartCheck() {
+        Optional<BackendReport> report = mBackend.latest();
+        if (!mBackend.isReady() || mView.get().policy().isEmpty()) {
+            return;
+        }
+        Optional<String> path =
+                servicePolicy(report.orElseThrow())
+                        .map(ServicePolicy::healthPath)
+                        .filter(p -> !p.isEmpty());
+        mRestartCheck.update(report.get(), path);
+    }
+
+    private Optional<ServicePolicy> servicePolicy(BackendReport report) {
+        return mView.get().policy().flatMap(policy -> policy.service(report.service()));
+    }
+
+    /**
+     * Returns the backend server's entry for other nodes.
+     *
+     * @return the entry
+     */
+    public BackendEntry entry() {
+        BackendEntry entry = mBackend.entry();
+        boolean unconfirmed = entry.getPhase() == BackendPhase.BACKEND_PHASE_READY && !isReady();
+        return unconfirmed
+                ? entry.toBuilder().setPhase(BackendPhase.BACKEND_PHASE_GONE).build()
+                : entry;
+    }
+
     /**
      * A backend server whose data centre was out may have turned cold since its latest heartbeat;
      * it counts as cold until the next one.
@@ -141,9 +181,7 @@
             return Optional.empty();
         }
         double rate =
-                mView.get()
-                        .policy()
-                        .flatMap(policy -> policy.service(report.service()))
+                servicePolicy(report)
                         .map(ServicePolicy::coldPerSecond)
                         .filter(r -> r > 0)
                         .orElse(DEFAULT_COLD_PER_SECOND);
--- a/oriolewind-core/src/main/java/org/oriolewind/backend/LocalBackend.java
+++ b/oriolewind-core/src/main/java/org/oriolewind/backend/LocalBackend.java
@@ -124,7 +124,9 @@
                         .filter(l -> bornMillis == 0 || l.bornMillis() <= bornMillis)
                         .isPresent();
         if (!present) {
-            mEnded.merge(instanceId, bornMillis, Math::max);
+            // A leave without a start ends every life that can have begun by now.
+            long ended = bornMillis == 0 ? mClock.millis() : bornMillis;
+            mEnded.merge(instanceId, ended, Math::max);
             return false;
         }
         mPhase = BackendPhase.BACKEND_PHASE_GONE;
--- a/oriolewind-core/src/main/java/org/oriolewind/dispatch/RequestRouter.java
+++ b/oriolewind-core/src/main/java/org/oriolewind/dispatch/RequestRouter.java
@@ -1,6 +1,9 @@
 package org.oriolewind.dispatch;
 
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Consumer;
 import org.oriolewind.policy.TrafficPolicy;
 import org.oriolewind.policy.TrafficRoute;
@@ -13,6 +16,7 @@
     private static final long NOT_READY_RETRY_MILLIS = 300;
 
     private final DispatchContext mContext;
+    private final Set<RoutedRequest> mOpen = new LinkedHashSet<>();
 
     /**
      * Creates a router.
@@ -47,8 +51,27 @@
             return () -> {};
         }
         RoutedRequest routed =
-                new RoutedRequest(mContext, policy.get().version(), route.get(), request, done);
+                new RoutedRequest(
+                        mContext,
+                        policy.get().version(),
+                        route.get(),
+                        request,
+                        done,
+                        mOpen::remove);
+        mOpen.add(routed);
         routed.start();
         return routed;
     }
+
+    /**
+     * Takes that a node gives no sign of life. Requests that wait for it and may run again are sent
+     * elsewhere if the budget allows it; the others go on waiting.
+     *
+     * @param peerAddress its address
+     */
+    public void onStalled(String peerAddress) {
+        for (RoutedRequest request : new ArrayList<>(mOpen)) {
+            request.onStalled(peerAddress);
+        }
+    }
 }
--- a/oriolewind-core/src/main/java/org/oriolewind/dispatch/RoutedRequest.java
+++ b/oriolewind-core/src/main/java/org/oriolewind/dispatch/RoutedRequest.java
@@ -51,6 +51,7 @@
     private final TrafficRoute mRoute;
     private final ClientRequest mRequest;
     private final Consumer<ClientReply> mDone;
+    private final Consumer<RoutedRequest> mOnFinished;
     private final String mService;
     private final long mStartMillis;
     private final long mDeadlineMillis;
@@ -58,6 +59,7 @@
     private final List<String> mSteps = new ArrayList<>();
     private TrialShare mShare = TrialShare.ANY;
     private Optional<Cancellable> mSending = Optional.empty();
+    private Optional<FleetMember> mTarget = Optional.empty();
     private Optional<Cancellable> mTimeout = Optional.empty();
     private Optional<CallAnswer> mServerAnswer = Optional.empty();
     private NotRunReason mLatestRefusal = NotRunReason.NOT_RUN_REASON_UNREACHABLE;
@@ -72,12 +74,14 @@
             long configVersion,
             TrafficRoute route,
             ClientRequest request,
-            Consumer<ClientReply> done) {
+            Consumer<ClientReply> done,
+            Consumer<RoutedRequest> onFinished) {
         mContext = context;
         mConfigVersion = configVersion;
         mRoute = route;
         mRequest = request;
         mDone = done;
+        mOnFinished = onFinished;
         mService = context.splits().choose(route);
         mStartMillis = context.clock().monotonicMillis();
         long left = request.timeLeftMillis().orElse(route.timeoutMillis());
@@ -115,6 +119,7 @@
             return;
         }
         FleetMember member = target.get();
+        mTarget = target;
         String node = member.status().getNode();
         mTried.add(node);
         member.onSent(mContext.clock().monotonicMillis());
@@ -301,6 +306,23 @@
         endWithout();
     }
 
+    /** Sends the request elsewhere if it waits for a node that gives no sign of life. */
+    void onStalled(String peerAddress) {
+        boolean waits =
+                mSending.isPresent()
+                        && mTarget.filter(m -> m.status().getPeerAddress().equals(peerAddress))
+                                .isPresent();
+        if (mEnded || !waits || mHandedOver + 1 >= mRoute.maxAttempts() || !mayRepeat()) {
+            return;
+        }
+        FleetMember member = mTarget.get();
+        mSending.ifPresent(Cancellable::cancel);
+        mHandedOver++;
+        mMayHaveRun = true;
+        mSteps.add(member.status().getNode() + ": no sign of life");
+        sendAgain(member, "no sign of life");
+    }
+
     private void sendAgain(FleetMember member, String reason) {
         mContext.log().sentAgain(mRequest.id(), member.status().getNode(), reason);
         send();
@@ -340,6 +362,7 @@
 
     private void finish(String outcome, String detail) {
         mEnded = true;
+        mOnFinished.accept(this);
         mTimeout.ifPresent(Cancellable::cancel);
         long millis = mContext.clock().monotonicMillis() - mStartMillis;
         mContext.log().ended(mRequest, mRoute.name(), outcome, () -> inputs(detail), millis);
--- a/oriolewind-core/src/main/java/org/oriolewind/placement/Placement.java
+++ b/oriolewind-core/src/main/java/org/oriolewind/placement/Placement.java
@@ -95,8 +95,7 @@
         return cheapest(pool, route, Math.max(1, aimMillis));
     }
 
-    private Optional<FleetMember> cheapest(
-            List<FleetMember> pool, String route, long aimMillis) {
+    private Optional<FleetMember> cheapest(List<FleetMember> pool, String route, long aimMillis) {
         FleetMember best = null;
         FleetMember bestLocal = null;
         double bestCost = Double.MAX_VALUE;
--- a/oriolewind-core/src/test/java/org/oriolewind/backend/BackendServiceTest.java
+++ b/oriolewind-core/src/test/java/org/oriolewind/backend/BackendServiceTest.java
@@ -7,6 +7,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Supplier;
+import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.oriolewind.dispatch.ClientRequest;
 import org.oriolewind.dispatch.RequestLog;
@@ -39,9 +40,15 @@
                     new BackendGate(mClock, mTimers),
                     this::send,
                     () -> mView,
+                    new RestartCheck(mClock, 1500, (path, done) -> {}, () -> {}),
                     new NoLog());
     private int mSequence;
 
+    @BeforeEach
+    void knowConfiguration() {
+        mView.replace(DocumentKind.CONFIG, 1, List.of(FakeDecoder.document("main", 1, "1")));
+    }
+
     private static final class NoLog implements RequestLog {
         @Override
         public void ended(
--- a/oriolewind-core/src/test/java/org/oriolewind/backend/LocalBackendTest.java
+++ b/oriolewind-core/src/test/java/org/oriolewind/backend/LocalBackendTest.java
@@ -48,6 +48,17 @@
         assertEquals("b", mBackend.latest().orElseThrow().instanceId());
     }
 
+    /** Fault pattern: a node that has just started hears of a leave before any heartbeat. */
+    @Test
+    void lateHeartbeatAfterALeaveThatNamesNoStartIsIgnored() {
+        long now = mClock.millis();
+        assertFalse(mBackend.onLeave("a", 0));
+        assertEquals(Change.IGNORED, mBackend.onReport(report("a", now - 60_000, 7, false)));
+        assertFalse(mBackend.isReady());
+        assertEquals(Change.STARTED, mBackend.onReport(report("a", now + 5000, 1, false)));
+        assertTrue(mBackend.isReady());
+    }
+
     @Test
     void startUnderTheSameIdBeginsAnew() {
         mBackend.onReport(report("a", 10, 50, true));
--- a/oriolewind-core/src/test/java/org/oriolewind/dispatch/RoutedRequestTest.java
+++ b/oriolewind-core/src/test/java/org/oriolewind/dispatch/RoutedRequestTest.java
@@ -184,6 +184,44 @@
         assertInstanceOf(ClientReply.Unknown.class, mReplies.get(0));
     }
 
+    /** Fault pattern: a node is busy for most of a second while its backend server is at work. */
+    @Test
+    void requestAtAStalledNodeWaitsIfItCannotGoElsewhere() {
+        know();
+        dispatch(SAFE + "x");
+        for (String node : List.of("a", "b", "c")) {
+            mFleet.onStalled(node);
+        }
+        mRouter.onStalled(mSendings.get(0).address());
+        assertTrue(mReplies.isEmpty());
+        assertEquals(0, mCancelled);
+        answer(0, answered(200));
+        assertEquals(200, ((ClientReply.Answered) mReplies.get(0)).status());
+    }
+
+    @Test
+    void safeRequestAtAStalledNodeGoesToAnotherOneOnce() {
+        know();
+        dispatch(SAFE + "x");
+        mRouter.onStalled(mSendings.get(0).address());
+        mRouter.onStalled(mSendings.get(0).address());
+        assertEquals(2, mSendings.size());
+        assertEquals(1, mCancelled);
+        mRouter.onStalled(mSendings.get(1).address());
+        assertEquals(2, mSendings.size(), "no more upstreams than the route allows");
+        answer(1, answered(200));
+        assertEquals(1, mReplies.size());
+    }
+
+    @Test
+    void unsafeRequestAtAStalledNodeGoesOnWaiting() {
+        know();
+        dispatch(UNSAFE + "x");
+        mRouter.onStalled(mSendings.get(0).address());
+        assertEquals(1, mSendings.size());
+        assertTrue(mReplies.isEmpty());
+    }
+
     @Test
     void safeRequestWithUnknownEndGoesToAnotherNode() {
         know();
--- a/oriolewind-core/src/test/java/org/oriolewind/placement/PlacementTest.java
+++ b/oriolewind-core/src/test/java/org/oriolewind/placement/PlacementTest.java
@@ -103,8 +103,8 @@
     }
 
     /**
-     * Load pattern: short calls of backend servers with short aims go to a service whose other calls
-     * take much longer than these aims.
+     * Load pattern: short calls of backend servers with short aims go to a service whose other
+     * calls take much longer than these aims.
      */
     @Test
     void shortCallsStayInTheDataCentreOfAServiceThatIsSlowWithOthers() {
--- a/oriolewind-node/src/main/java/org/oriolewind/node/call/PeerCallLink.java
+++ b/oriolewind-node/src/main/java/org/oriolewind/node/call/PeerCallLink.java
@@ -210,14 +210,13 @@
     /**
      * Asks the other node for a sign of life when calls are outstanding and nothing was heard.
      *
-     * @return true if it has not given one in time; calls that may run again are given up then
+     * @return true if it has not given one in time. Its calls stay outstanding: the other node may
+     *     only be slow
      */
     boolean checkStall() {
         long now = mClock.monotonicMillis();
-        List<Pending> givenUp = new ArrayList<>();
-        PeerConnection connection;
         synchronized (this) {
-            connection = mConnection;
+            PeerConnection connection = mConnection;
             long since = Math.max(mHeardMillis, mOutstandingSinceMillis);
             if (mClosed || connection == null || mPending.isEmpty()) {
                 return false;
@@ -234,16 +233,6 @@
             if (now - mPingMillis < PONG_MILLIS) {
                 return false;
             }
-            for (Pending pending : mPending.values()) {
-                if (pending.request().getIdempotent()) {
-                    givenUp.add(pending);
-                }
-            }
-            givenUp.forEach(pending -> mPending.remove(pending.stream()));
-        }
-        for (Pending pending : givenUp) {
-            sendCancel(connection, pending.stream());
-            pending.done().accept(CallAnswers.unknown());
         }
         return true;
     }
