--- a/oriolewind-core/src/main/java/org/oriolewind/policy/OperatorView.java
+++ b/oriolewind-core/src/main/java/org/oriolewind/policy/OperatorView.java
@@ -20,6 +20,9 @@
     /** The document that holds the configuration. */
     public static final String MAIN = "main";
 
+    /** A large odd number, so that neighbouring revisions give digests far apart. */
+    private static final long DIGEST_FACTOR = 0x9E3779B97F4A7C15L;
+
     private final PolicyDecoder mDecoder;
     private final Consumer<DocumentKind> mOnChange;
     private final Map<DocumentKind, TreeMap<String, OperatorDocument>> mDocuments =
@@ -125,6 +128,21 @@
         return mRevisions.getOrDefault(kind, 0L);
     }
 
+    /**
+     * Returns a digest of the names and revisions of a kind's documents.
+     *
+     * @param kind the kind
+     * @return the digest, equal at nodes that know the same documents
+     */
+    public long digest(DocumentKind kind) {
+        long digest = 1;
+        for (OperatorDocument document : mDocuments.get(kind).values()) {
+            digest = digest * DIGEST_FACTOR + document.name().hashCode();
+            digest = digest * DIGEST_FACTOR + document.revision();
+        }
+        return digest;
+    }
+
     /**
      * Returns the documents of a kind.
      *
--- /dev/null
+++ b/oriolewind-core/src/main/java/org/oriolewind/spread/package-info.java
@@ -0,0 +1,5 @@
+/**
+ * How the operators' documents reach the nodes: who reads the store, and who hears from other
+ * nodes.
+ */
+package org.oriolewind.spread;
--- a/oriolewind-node/src/main/java/org/oriolewind/node/call/MeshPeers.java
+++ b/oriolewind-node/src/main/java/org/oriolewind/node/call/MeshPeers.java
@@ -145,6 +145,8 @@
             // An empty status keeps the link of the other node alive.
             connection.send(
                     mStamp.newFrame().setNodeStatus(NodeStatus.getDefaultInstance()).build());
+        } else if (frame.hasDocumentSet()) {
+            mListener.onDocuments(frame);
         } else {
             mListener.onPull(frame.getDocumentPull().getKindsList()).forEach(connection::send);
         }
@@ -258,9 +260,15 @@
         return () -> {};
     }
 
-    /** Returns the addresses of all nodes known. */
-    public List<String> addresses() {
-        return new ArrayList<>(mTargets.keySet());
+    /**
+     * Returns whether the link to a node is open.
+     *
+     * @param address its address
+     * @return true if it is
+     */
+    public boolean isLinked(String address) {
+        Target target = mTargets.get(address);
+        return target != null && target.mLink != null && target.mLink.isOpen();
     }
 
     /** Tells other nodes that no later call is run here. */
--- a/oriolewind-node/src/main/java/org/oriolewind/node/call/PeerCallServer.java
+++ b/oriolewind-node/src/main/java/org/oriolewind/node/call/PeerCallServer.java
@@ -136,7 +136,7 @@
                     call.cancel();
                 }
             }
-            case NODE_STATUS, DOCUMENT_PULL -> mOnOther.accept(connection, frame);
+            case NODE_STATUS, DOCUMENT_PULL, DOCUMENT_SET -> mOnOther.accept(connection, frame);
             default -> connection.abort();
         }
     }
--- a/oriolewind-wire/src/main/java/org/oriolewind/wire/NodeStatus.java
+++ b/oriolewind-wire/src/main/java/org/oriolewind/wire/NodeStatus.java
@@ -55,6 +55,8 @@
     switch (number) {
       case 12:
         return internalGetDocumentRevisions();
+      case 15:
+        return internalGetDocumentDigests();
       default:
         throw new RuntimeException(
             "Invalid map field number: " + number);
@@ -447,6 +449,114 @@
     return trialCounts_.get(index);
   }
 
+  public static final int FOLLOWS_STORE_FIELD_NUMBER = 14;
+  private boolean followsStore_ = false;
+  /**
+   * <pre>
+   * The node reads the operators' documents from the platform's store itself, and is answered.
+   * </pre>
+   *
+   * <code>bool follows_store = 14;</code>
+   * @return The followsStore.
+   */
+  @java.lang.Override
+  public boolean getFollowsStore() {
+    return followsStore_;
+  }
+
+  public static final int DOCUMENT_DIGESTS_FIELD_NUMBER = 15;
+  private static final class DocumentDigestsDefaultEntryHolder {
+    static final com.google.protobuf.MapEntry<
+        java.lang.String, java.lang.Long> defaultEntry =
+            com.google.protobuf.MapEntry
+            .<java.lang.String, java.lang.Long>newDefaultInstance(
+                org.oriolewind.wire.Peer.internal_static_oriolewind_NodeStatus_DocumentDigestsEntry_descriptor, 
+                com.google.protobuf.WireFormat.FieldType.STRING,
+                "",
+                com.google.protobuf.WireFormat.FieldType.UINT64,
+                0L);
+  }
+  @SuppressWarnings("serial")
+  private com.google.protobuf.MapField<
+      java.lang.String, java.lang.Long> documentDigests_;
+  private com.google.protobuf.MapField<java.lang.String, java.lang.Long>
+  internalGetDocumentDigests() {
+    if (documentDigests_ == null) {
+      return com.google.protobuf.MapField.emptyMapField(
+          DocumentDigestsDefaultEntryHolder.defaultEntry);
+    }
+    return documentDigests_;
+  }
+  public int getDocumentDigestsCount() {
+    return internalGetDocumentDigests().getMap().size();
+  }
+  /**
+   * <pre>
+   * Digest of the documents of each kind; two nodes with equal digests know the same.
+   * </pre>
+   *
+   * <code>map&lt;string, uint64&gt; document_digests = 15;</code>
+   */
+  @java.lang.Override
+  public boolean containsDocumentDigests(
+      java.lang.String key) {
+    java.util.Objects.requireNonNull(key, "map key");
+    return internalGetDocumentDigests().getMap().containsKey(key);
+  }
+  /**
+   * Use {@link #getDocumentDigestsMap()} instead.
+   */
+  @java.lang.Override
+  @java.lang.Deprecated
+  public java.util.Map<java.lang.String, java.lang.Long> getDocumentDigests() {
+    return getDocumentDigestsMap();
+  }
+  /**
+   * <pre>
+   * Digest of the documents of each kind; two nodes with equal digests know the same.
+   * </pre>
+   *
+   * <code>map&lt;string, uint64&gt; document_digests = 15;</code>
+   */
+  @java.lang.Override
+  public java.util.Map<java.lang.String, java.lang.Long> getDocumentDigestsMap() {
+    return internalGetDocumentDigests().getMap();
+  }
+  /**
+   * <pre>
+   * Digest of the documents of each kind; two nodes with equal digests know the same.
+   * </pre>
+   *
+   * <code>map&lt;string, uint64&gt; document_digests = 15;</code>
+   */
+  @java.lang.Override
+  public long getDocumentDigestsOrDefault(
+      java.lang.String key,
+      long defaultValue) {
+    java.util.Objects.requireNonNull(key, "map key");
+    java.util.Map<java.lang.String, java.lang.Long> map =
+        internalGetDocumentDigests().getMap();
+    return map.containsKey(key) ? map.get(key) : defaultValue;
+  }
+  /**
+   * <pre>
+   * Digest of the documents of each kind; two nodes with equal digests know the same.
+   * </pre>
+   *
+   * <code>map&lt;string, uint64&gt; document_digests = 15;</code>
+   */
+  @java.lang.Override
+  public long getDocumentDigestsOrThrow(
+      java.lang.String key) {
+    java.util.Objects.requireNonNull(key, "map key");
+    java.util.Map<java.lang.String, java.lang.Long> map =
+        internalGetDocumentDigests().getMap();
+    if (!map.containsKey(key)) {
+      throw new java.lang.IllegalArgumentException();
+    }
+    return map.get(key);
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -503,6 +613,15 @@
     for (int i = 0; i < trialCounts_.size(); i++) {
       output.writeMessage(13, trialCounts_.get(i));
     }
+    if (followsStore_ != false) {
+      output.writeBool(14, followsStore_);
+    }
+    com.google.protobuf.GeneratedMessage
+      .serializeStringMapTo(
+        output,
+        internalGetDocumentDigests(),
+        DocumentDigestsDefaultEntryHolder.defaultEntry,
+        15);
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -567,6 +686,20 @@
           }
           size += 1 * count;
         }
+    if (followsStore_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(14, followsStore_);
+    }
+    for (java.util.Map.Entry<java.lang.String, java.lang.Long> entry
+         : internalGetDocumentDigests().getMap().entrySet()) {
+      com.google.protobuf.MapEntry<java.lang.String, java.lang.Long>
+      documentDigests__ = DocumentDigestsDefaultEntryHolder.defaultEntry.newBuilderForType()
+          .setKey(entry.getKey())
+          .setValue(entry.getValue())
+          .buildPartial();
+      size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(15, documentDigests__);
+    }
     return size;
   }
   @java.lang.Override
@@ -620,6 +753,10 @@
         other.internalGetDocumentRevisions())) return false;
     if (!getTrialCountsList()
         .equals(other.getTrialCountsList())) return false;
+    if (getFollowsStore()
+        != other.getFollowsStore()) return false;
+    if (!internalGetDocumentDigests().equals(
+        other.internalGetDocumentDigests())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -667,6 +804,13 @@
       hash = (37 * hash) + TRIAL_COUNTS_FIELD_NUMBER;
       hash = (53 * hash) + getTrialCountsList().hashCode();
     }
+    hash = (37 * hash) + FOLLOWS_STORE_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getFollowsStore());
+    if (!internalGetDocumentDigests().getMap().isEmpty()) {
+      hash = (37 * hash) + DOCUMENT_DIGESTS_FIELD_NUMBER;
+      hash = (53 * hash) + internalGetDocumentDigests().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -786,6 +930,8 @@
       switch (number) {
         case 12:
           return internalGetDocumentRevisions();
+        case 15:
+          return internalGetDocumentDigests();
         default:
           throw new RuntimeException(
               "Invalid map field number: " + number);
@@ -797,6 +943,8 @@
       switch (number) {
         case 12:
           return internalGetMutableDocumentRevisions();
+        case 15:
+          return internalGetMutableDocumentDigests();
         default:
           throw new RuntimeException(
               "Invalid map field number: " + number);
@@ -854,6 +1002,8 @@
         trialCountsBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00001000);
+      followsStore_ = false;
+      internalGetMutableDocumentDigests().clear();
       return this;
     }
 
@@ -941,6 +1091,13 @@
         result.documentRevisions_ = internalGetDocumentRevisions();
         result.documentRevisions_.makeImmutable();
       }
+      if (((from_bitField0_ & 0x00002000) != 0)) {
+        result.followsStore_ = followsStore_;
+      }
+      if (((from_bitField0_ & 0x00004000) != 0)) {
+        result.documentDigests_ = internalGetDocumentDigests();
+        result.documentDigests_.makeImmutable();
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -1024,6 +1181,12 @@
           }
         }
       }
+      if (other.getFollowsStore() != false) {
+        setFollowsStore(other.getFollowsStore());
+      }
+      internalGetMutableDocumentDigests().mergeFrom(
+          other.internalGetDocumentDigests());
+      bitField0_ |= 0x00004000;
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -1127,6 +1290,20 @@
               }
               break;
             } // case 106
+            case 112: {
+              followsStore_ = input.readBool();
+              bitField0_ |= 0x00002000;
+              break;
+            } // case 112
+            case 122: {
+              com.google.protobuf.MapEntry<java.lang.String, java.lang.Long>
+              documentDigests__ = input.readMessage(
+                  DocumentDigestsDefaultEntryHolder.defaultEntry.getParserForType(), extensionRegistry);
+              internalGetMutableDocumentDigests().getMutableMap().put(
+                  documentDigests__.getKey(), documentDigests__.getValue());
+              bitField0_ |= 0x00004000;
+              break;
+            } // case 122
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -2174,6 +2351,203 @@
       return trialCountsBuilder_;
     }
 
+    private boolean followsStore_ ;
+    /**
+     * <pre>
+     * The node reads the operators' documents from the platform's store itself, and is answered.
+     * </pre>
+     *
+     * <code>bool follows_store = 14;</code>
+     * @return The followsStore.
+     */
+    @java.lang.Override
+    public boolean getFollowsStore() {
+      return followsStore_;
+    }
+    /**
+     * <pre>
+     * The node reads the operators' documents from the platform's store itself, and is answered.
+     * </pre>
+     *
+     * <code>bool follows_store = 14;</code>
+     * @param value The followsStore to set.
+     * @return This builder for chaining.
+     */
+    public Builder setFollowsStore(boolean value) {
+
+      followsStore_ = value;
+      bitField0_ |= 0x00002000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The node reads the operators' documents from the platform's store itself, and is answered.
+     * </pre>
+     *
+     * <code>bool follows_store = 14;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearFollowsStore() {
+      bitField0_ = (bitField0_ & ~0x00002000);
+      followsStore_ = false;
+      onChanged();
+      return this;
+    }
+
+    private com.google.protobuf.MapField<
+        java.lang.String, java.lang.Long> documentDigests_;
+    private com.google.protobuf.MapField<java.lang.String, java.lang.Long>
+        internalGetDocumentDigests() {
+      if (documentDigests_ == null) {
+        return com.google.protobuf.MapField.emptyMapField(
+            DocumentDigestsDefaultEntryHolder.defaultEntry);
+      }
+      return documentDigests_;
+    }
+    private com.google.protobuf.MapField<java.lang.String, java.lang.Long>
+        internalGetMutableDocumentDigests() {
+      if (documentDigests_ == null) {
+        documentDigests_ = com.google.protobuf.MapField.newMapField(
+            DocumentDigestsDefaultEntryHolder.defaultEntry);
+      }
+      if (!documentDigests_.isMutable()) {
+        documentDigests_ = documentDigests_.copy();
+      }
+      bitField0_ |= 0x00004000;
+      onChanged();
+      return documentDigests_;
+    }
+    public int getDocumentDigestsCount() {
+      return internalGetDocumentDigests().getMap().size();
+    }
+    /**
+     * <pre>
+     * Digest of the documents of each kind; two nodes with equal digests know the same.
+     * </pre>
+     *
+     * <code>map&lt;string, uint64&gt; document_digests = 15;</code>
+     */
+    @java.lang.Override
+    public boolean containsDocumentDigests(
+        java.lang.String key) {
+      java.util.Objects.requireNonNull(key, "map key");
+      return internalGetDocumentDigests().getMap().containsKey(key);
+    }
+    /**
+     * Use {@link #getDocumentDigestsMap()} instead.
+     */
+    @java.lang.Override
+    @java.lang.Deprecated
+    public java.util.Map<java.lang.String, java.lang.Long> getDocumentDigests() {
+      return getDocumentDigestsMap();
+    }
+    /**
+     * <pre>
+     * Digest of the documents of each kind; two nodes with equal digests know the same.
+     * </pre>
+     *
+     * <code>map&lt;string, uint64&gt; document_digests = 15;</code>
+     */
+    @java.lang.Override
+    public java.util.Map<java.lang.String, java.lang.Long> getDocumentDigestsMap() {
+      return internalGetDocumentDigests().getMap();
+    }
+    /**
+     * <pre>
+     * Digest of the documents of each kind; two nodes with equal digests know the same.
+     * </pre>
+     *
+     * <code>map&lt;string, uint64&gt; document_digests = 15;</code>
+     */
+    @java.lang.Override
+    public long getDocumentDigestsOrDefault(
+        java.lang.String key,
+        long defaultValue) {
+      java.util.Objects.requireNonNull(key, "map key");
+      java.util.Map<java.lang.String, java.lang.Long> map =
+          internalGetDocumentDigests().getMap();
+      return map.containsKey(key) ? map.get(key) : defaultValue;
+    }
+    /**
+     * <pre>
+     * Digest of the documents of each kind; two nodes with equal digests know the same.
+     * </pre>
+     *
+     * <code>map&lt;string, uint64&gt; document_digests = 15;</code>
+     */
+    @java.lang.Override
+    public long getDocumentDigestsOrThrow(
+        java.lang.String key) {
+      java.util.Objects.requireNonNull(key, "map key");
+      java.util.Map<java.lang.String, java.lang.Long> map =
+          internalGetDocumentDigests().getMap();
+      if (!map.containsKey(key)) {
+        throw new java.lang.IllegalArgumentException();
+      }
+      return map.get(key);
+    }
+    public Builder clearDocumentDigests() {
+      bitField0_ = (bitField0_ & ~0x00004000);
+      internalGetMutableDocumentDigests().getMutableMap()
+          .clear();
+      return this;
+    }
+    /**
+     * <pre>
+     * Digest of the documents of each kind; two nodes with equal digests know the same.
+     * </pre>
+     *
+     * <code>map&lt;string, uint64&gt; document_digests = 15;</code>
+     */
+    public Builder removeDocumentDigests(
+        java.lang.String key) {
+      java.util.Objects.requireNonNull(key, "map key");
+      internalGetMutableDocumentDigests().getMutableMap()
+          .remove(key);
+      return this;
+    }
+    /**
+     * Use alternate mutation accessors instead.
+     */
+    @java.lang.Deprecated
+    public java.util.Map<java.lang.String, java.lang.Long>
+        getMutableDocumentDigests() {
+      bitField0_ |= 0x00004000;
+      return internalGetMutableDocumentDigests().getMutableMap();
+    }
+    /**
+     * <pre>
+     * Digest of the documents of each kind; two nodes with equal digests know the same.
+     * </pre>
+     *
+     * <code>map&lt;string, uint64&gt; document_digests = 15;</code>
+     */
+    public Builder putDocumentDigests(
+        java.lang.String key,
+        long value) {
+      java.util.Objects.requireNonNull(key, "map key");
+
+      internalGetMutableDocumentDigests().getMutableMap()
+          .put(key, value);
+      bitField0_ |= 0x00004000;
+      return this;
+    }
+    /**
+     * <pre>
+     * Digest of the documents of each kind; two nodes with equal digests know the same.
+     * </pre>
+     *
+     * <code>map&lt;string, uint64&gt; document_digests = 15;</code>
+     */
+    public Builder putAllDocumentDigests(
+        java.util.Map<java.lang.String, java.lang.Long> values) {
+      internalGetMutableDocumentDigests().getMutableMap()
+          .putAll(values);
+      bitField0_ |= 0x00004000;
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:oriolewind.NodeStatus)
   }
 
--- a/oriolewind-wire/src/main/java/org/oriolewind/wire/NodeStatusOrBuilder.java
+++ b/oriolewind-wire/src/main/java/org/oriolewind/wire/NodeStatusOrBuilder.java
@@ -202,4 +202,66 @@
    */
   org.oriolewind.wire.EvidenceCountOrBuilder getTrialCountsOrBuilder(
       int index);
+
+  /**
+   * <pre>
+   * The node reads the operators' documents from the platform's store itself, and is answered.
+   * </pre>
+   *
+   * <code>bool follows_store = 14;</code>
+   * @return The followsStore.
+   */
+  boolean getFollowsStore();
+
+  /**
+   * <pre>
+   * Digest of the documents of each kind; two nodes with equal digests know the same.
+   * </pre>
+   *
+   * <code>map&lt;string, uint64&gt; document_digests = 15;</code>
+   */
+  int getDocumentDigestsCount();
+  /**
+   * <pre>
+   * Digest of the documents of each kind; two nodes with equal digests know the same.
+   * </pre>
+   *
+   * <code>map&lt;string, uint64&gt; document_digests = 15;</code>
+   */
+  boolean containsDocumentDigests(
+      java.lang.String key);
+  /**
+   * Use {@link #getDocumentDigestsMap()} instead.
+   */
+  @java.lang.Deprecated
+  java.util.Map<java.lang.String, java.lang.Long>
+  getDocumentDigests();
+  /**
+   * <pre>
+   * Digest of the documents of each kind; two nodes with equal digests know the same.
+   * </pre>
+   *
+   * <code>map&lt;string, uint64&gt; document_digests = 15;</code>
+   */
+  java.util.Map<java.lang.String, java.lang.Long>
+  getDocumentDigestsMap();
+  /**
+   * <pre>
+   * Digest of the documents of each kind; two nodes with equal digests know the same.
+   * </pre>
+   *
+   * <code>map&lt;string, uint64&gt; document_digests = 15;</code>
+   */
+  long getDocumentDigestsOrDefault(
+      java.lang.String key,
+      long defaultValue);
+  /**
+   * <pre>
+   * Digest of the documents of each kind; two nodes with equal digests know the same.
+   * </pre>
+   *
+   * <code>map&lt;string, uint64&gt; document_digests = 15;</code>
+   */
+  long getDocumentDigestsOrThrow(
+      java.lang.String key);
 }
