oriolewind validate refuses a note whose id was published with other content

Cause: the command compiled the note against the head and never looked at earlier notes; publish refuses such a note. Both now go through ConfigPublisher (ConfigPublisherTest.validationRefusesWhatPublicationWould).

--- a/oriolewind-cli/src/main/java/org/oriolewind/cli/ValidateCommand.java
+++ b/oriolewind-cli/src/main/java/org/oriolewind/cli/ValidateCommand.java
@@ -1,8 +1,7 @@
 package org.oriolewind.cli;
 
 import org.apache.commons.cli.CommandLine;
-import org.oriolewind.config.HeadObject;
-import org.oriolewind.config.NoteCompiler;
+import org.oriolewind.config.Publication;
 import org.oriolewind.config.ReleaseNote;
 import org.oriolewind.error.StepException;
 
@@ -27,14 +26,15 @@
     public ExitStatus run(CliContext context, CommandLine line) throws StepException {
         String file = CliContext.arguments(line, 1, 1, usage()).get(0);
         ReleaseNote note = CliContext.readNote(file);
-        HeadObject head = context.publisher(line).readHead();
-        var draft = head.config().edit();
-        NoteCompiler.apply(note, draft, context.clock().instant());
-        draft.build(head.config().version() + 1);
+        Publication checked = context.publisher(line).validate(note);
         context.out()
                 .printf(
-                        "%s: note %s is valid on configuration version %d%n",
-                        file, note.id(), head.config().version());
+                        checked.changed()
+                                ? "%s: note %s is valid on configuration version %d%n"
+                                : "%s: note %s is in force already, configuration version %d%n",
+                        file,
+                        note.id(),
+                        checked.head().config().version());
         return ExitStatus.OK;
     }
 }
--- a/oriolewind-core/src/main/java/org/oriolewind/config/ConfigPublisher.java
+++ b/oriolewind-core/src/main/java/org/oriolewind/config/ConfigPublisher.java
@@ -58,16 +58,50 @@
     public Publication publish(ReleaseNote note)
             throws NoteException, ConfigException, PublishException {
         NoteEdit edit = new NoteEdit(note);
+        if (isArchived(note, edit)) {
+            return new Publication(readHeadAfter(false), false);
+        }
+        return publish(edit);
+    }
+
+    /**
+     * Checks a note as {@link #publish(ReleaseNote)} would, and writes nothing.
+     *
+     * @param note the note
+     * @return the head that it was checked against, unchanged if the same note is in force already
+     * @throws NoteException if the note can't be accepted
+     * @throws ConfigException if the stored or the new configuration can't be used
+     * @throws PublishException if the platform can't be reached
+     */
+    public Publication validate(ReleaseNote note)
+            throws NoteException, ConfigException, PublishException {
+        NoteEdit edit = new NoteEdit(note);
+        HeadObject head = readHeadAfter(false);
+        if (isArchived(note, edit)) {
+            return new Publication(head, false);
+        }
+        ConfigEntries draft = head.config().edit();
+        boolean changed = edit.apply(head.config(), draft, mClock.instant());
+        if (changed) {
+            draft.build(head.config().version() + 1);
+        }
+        return new Publication(head, changed);
+    }
+
+    /**
+     * Returns whether a note is known from the archive, and checks that its content is the same.
+     */
+    private boolean isArchived(ReleaseNote note, NoteEdit edit)
+            throws NoteException, ConfigException, PublishException {
         try {
             Optional<ArchivedNote> archived = mArchive.find(note.id());
             if (archived.isPresent()) {
                 edit.checkSameContent(archived.get().note().digest());
-                return new Publication(readHead(), false);
             }
+            return archived.isPresent();
         } catch (PlatformException e) {
             throw unreachable(e);
         }
-        return publish(edit);
     }
 
     /**
--- a/oriolewind-core/src/test/java/org/oriolewind/config/ConfigPublisherTest.java
+++ b/oriolewind-core/src/test/java/org/oriolewind/config/ConfigPublisherTest.java
@@ -42,6 +42,18 @@
         assertEquals(2, mPublisher.readHead().config().version());
     }
 
+    @Test
+    void validationRefusesWhatPublicationWould() throws Exception {
+        ReleaseNote note = move("m");
+        assertTrue(mPublisher.validate(note).changed());
+        assertEquals(1, mPublisher.readHead().config().version(), "nothing is written");
+        mPublisher.publish(note);
+        assertFalse(mPublisher.validate(note).changed());
+        mClock.advanceMillis(1000);
+        NoteException e = assertThrows(NoteException.class, () -> mPublisher.validate(move("m")));
+        assertEquals("id", e.faults().get(0).place());
+    }
+
     @Test
     void lostAnswerIsResolvedByReadingBack() throws Exception {
         mStore.loseAnswers(1);
