--- a/oriolewind-cli/src/main/java/org/oriolewind/cli/ExplainCommand.java
+++ b/oriolewind-cli/src/main/java/org/oriolewind/cli/ExplainCommand.java
@@ -40,7 +40,7 @@
             context.out().println("no line mentions " + id + ": it was answered, or never came");
             return ExitStatus.FAILED;
         }
-        lines.forEach(l -> context.out().println(l.at() + " " + l.process() + " " + l.message()));
+        lines.forEach(l -> context.out().println(l.text()));
         lines.stream()
                 .filter(l -> l.endsRequest(id))
                 .reduce((first, last) -> last)
--- a/oriolewind-cli/src/main/java/org/oriolewind/cli/TimelineCommand.java
+++ b/oriolewind-cli/src/main/java/org/oriolewind/cli/TimelineCommand.java
@@ -7,6 +7,8 @@
 import org.apache.commons.cli.CommandLine;
 import org.apache.commons.cli.Option;
 import org.apache.commons.cli.Options;
+import org.oriolewind.cli.timeline.LogLine;
+import org.oriolewind.cli.timeline.LogLines;
 import org.oriolewind.cli.timeline.Timeline;
 import org.oriolewind.cli.timeline.TimelineEvent;
 import org.oriolewind.time.HybridClock;
@@ -31,7 +33,7 @@
 
     @Override
     public String usage() {
-        return "timeline [--call ID] [--note ID] [--node NAME] [--json] FILE...";
+        return "timeline [--call ID] [--note ID] [--node NAME] [--json | --logs] FILE...";
     }
 
     @Override
@@ -45,11 +47,16 @@
         options.addOption(Option.builder().longOpt("note").hasArg().get());
         options.addOption(Option.builder().longOpt("node").hasArg().get());
         options.addOption(Option.builder().longOpt("json").get());
+        options.addOption(Option.builder().longOpt("logs").get());
     }
 
     @Override
     public ExitStatus run(CliContext context, CommandLine line) throws CliException {
         List<String> files = CliContext.arguments(line, 1, Integer.MAX_VALUE, usage());
+        if (line.hasOption("logs")) {
+            printLogs(context, line, files);
+            return ExitStatus.OK;
+        }
         for (TimelineEvent event : read(files)) {
             if (matches(event, line)) {
                 context.out().println(line.hasOption("json") ? event.json() : text(event));
@@ -58,6 +65,24 @@
         return ExitStatus.OK;
     }
 
+    /** Prints the log lines of the nodes on the platform, which write no events. */
+    private static void printLogs(CliContext context, CommandLine line, List<String> files)
+            throws CliException {
+        List<Path> paths = files.stream().map(Path::of).toList();
+        String request = line.getOptionValue("call");
+        String node = line.getOptionValue("node");
+        try {
+            List<LogLine> lines =
+                    request == null ? LogLines.all(paths) : LogLines.mentioning(request, paths);
+            lines.stream()
+                    .filter(l -> node == null || l.process().equals(node))
+                    .forEach(l -> context.out().println(l.text()));
+        } catch (IOException e) {
+            throw new CliException(
+                    ExitStatus.BAD_INPUT, "read logs", "can't read " + e.getMessage(), e);
+        }
+    }
+
     static List<TimelineEvent> read(List<String> files) throws CliException {
         try {
             return Timeline.read(files.stream().map(Path::of).toList());
--- a/oriolewind-cli/src/main/java/org/oriolewind/cli/timeline/LogLine.java
+++ b/oriolewind-cli/src/main/java/org/oriolewind/cli/timeline/LogLine.java
@@ -1,5 +1,8 @@
 package org.oriolewind.cli.timeline;
 
+import java.time.Instant;
+import java.time.format.DateTimeParseException;
+
 /**
  * One line of a process's log. Immutable.
  *
@@ -8,6 +11,28 @@
  * @param message the message
  */
 public record LogLine(String at, String process, String message) {
+    /**
+     * Returns the time of day.
+     *
+     * @return the time, the earliest there is if the line holds none
+     */
+    public Instant instant() {
+        try {
+            return Instant.parse(at);
+        } catch (DateTimeParseException e) {
+            return Instant.MIN;
+        }
+    }
+
+    /**
+     * Returns the line for a person.
+     *
+     * @return time, process and message
+     */
+    public String text() {
+        return at + " " + process + " " + message;
+    }
+
     /**
      * Returns whether the line tells the end of a request: its id, method, host and path, then the
      * outcome and the time it took.
--- a/oriolewind-cli/src/main/java/org/oriolewind/cli/timeline/LogLines.java
+++ b/oriolewind-cli/src/main/java/org/oriolewind/cli/timeline/LogLines.java
@@ -9,6 +9,7 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
+import java.util.function.Predicate;
 import org.oriolewind.config.JsonFormat;
 
 /**
@@ -27,17 +28,33 @@
      * @throws IOException if a file can't be read
      */
     public static List<LogLine> mentioning(String id, List<Path> files) throws IOException {
+        return matching(text -> text.contains("request " + id + " "), files);
+    }
+
+    /**
+     * Reads all lines.
+     *
+     * @param files the files
+     * @return the lines in the order of their times
+     * @throws IOException if a file can't be read
+     */
+    public static List<LogLine> all(List<Path> files) throws IOException {
+        return matching(text -> true, files);
+    }
+
+    private static List<LogLine> matching(Predicate<String> wanted, List<Path> files)
+            throws IOException {
         List<LogLine> lines = new ArrayList<>();
         for (Path file : files) {
             try (BufferedReader reader = Files.newBufferedReader(file)) {
                 for (String text = reader.readLine(); text != null; text = reader.readLine()) {
-                    if (text.contains("request " + id + " ")) {
+                    if (wanted.test(text)) {
                         parse(file, text, lines);
                     }
                 }
             }
         }
-        lines.sort(Comparator.comparing(LogLine::at));
+        lines.sort(Comparator.comparing(LogLine::instant));
         return lines;
     }
 
--- /dev/null
+++ b/oriolewind-cli/src/test/java/org/oriolewind/cli/TimelineCommandTest.java
@@ -0,0 +1,61 @@
+package org.oriolewind.cli;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.io.ByteArrayOutputStream;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+class TimelineCommandTest {
+    @TempDir private Path mDir;
+
+    /** The lines of two processes, as they come from the bench and from files of their own. */
+    @ParameterizedTest
+    @CsvSource(
+            value = {
+                "| started,request r1 goes on,the store is followed here",
+                "--call r1 | request r1 goes on",
+                "--node node-b | the store is followed here",
+                "--call r2 | ''",
+            },
+            delimiter = '|')
+    void logsOfAllProcessesComeInTheOrderOfTheirTimes(String options, String messages)
+            throws Exception {
+        Path one =
+                Files.write(
+                        mDir.resolve("all.log"),
+                        List.of(
+                                "  2.5 node-b {\"at\":\"2026-01-01T00:00:02.25Z\",\"message\":"
+                                        + "\"the store is followed here\"}",
+                                "  2.4 node-a {\"at\":\"2026-01-01T00:00:02.2Z\",\"message\":"
+                                        + "\"request r1 goes on\"}"));
+        Path other =
+                Files.write(
+                        mDir.resolve("node-c"),
+                        List.of("{\"at\":\"2026-01-01T00:00:02Z\",\"message\":\"started\"}"));
+        List<String> arguments = new ArrayList<>(List.of("timeline", "--logs"));
+        if (options != null) {
+            arguments.addAll(List.of(options.split(" ")));
+        }
+        arguments.add(one.toString());
+        arguments.add(other.toString());
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        PrintStream out = new PrintStream(bytes, true, StandardCharsets.UTF_8);
+        String[] all = arguments.toArray(new String[0]);
+        assertEquals(ExitStatus.OK, Oriolewind.run(all, Map.of(), out, out));
+        List<String> printed =
+                bytes.toString(StandardCharsets.UTF_8)
+                        .lines()
+                        .map(l -> l.split(" ", 3)[2])
+                        .toList();
+        assertEquals(messages, String.join(",", printed));
+    }
+}
