--- a/oriolewind-core/src/main/java/org/oriolewind/backend/BackendReport.java
+++ b/oriolewind-core/src/main/java/org/oriolewind/backend/BackendReport.java
@@ -22,4 +22,14 @@
         int slots,
         boolean draining,
         long sequence,
-        long coldMillis) {}
+        long coldMillis) {
+    /**
+     * Returns whether another heartbeat is of the same lifetime.
+     *
+     * @param other the other heartbeat
+     * @return true if id and start are equal
+     */
+    public boolean isSameLife(BackendReport other) {
+        return instanceId.equals(other.instanceId) && bornMillis == other.bornMillis;
+    }
+}
--- a/oriolewind-core/src/main/java/org/oriolewind/backend/LocalBackend.java
+++ b/oriolewind-core/src/main/java/org/oriolewind/backend/LocalBackend.java
@@ -68,7 +68,7 @@
                 report.draining()
                         ? BackendPhase.BACKEND_PHASE_DRAINING
                         : BackendPhase.BACKEND_PHASE_READY;
-        boolean sameLife = mLatest.filter(l -> isSameLife(l, report)).isPresent();
+        boolean sameLife = mLatest.filter(l -> l.isSameLife(report)).isPresent();
         if (!sameLife) {
             mLatest.ifPresent(l -> mEnded.put(l.instanceId(), l.bornMillis()));
             take(report, phase, now);
@@ -93,16 +93,11 @@
             return false;
         }
         BackendReport latest = mLatest.get();
-        return isSameLife(latest, report)
+        return latest.isSameLife(report)
                 ? report.sequence() <= latest.sequence()
                 : report.bornMillis() < latest.bornMillis();
     }
 
-    private static boolean isSameLife(BackendReport one, BackendReport other) {
-        return one.instanceId().equals(other.instanceId())
-                && one.bornMillis() == other.bornMillis();
-    }
-
     private void take(BackendReport report, BackendPhase phase, long now) {
         mLatest = Optional.of(report);
         mPhase = phase;
--- a/oriolewind-core/src/main/java/org/oriolewind/backend/RestartCheck.java
+++ b/oriolewind-core/src/main/java/org/oriolewind/backend/RestartCheck.java
@@ -51,12 +51,7 @@
      * @return true if it needs no check or has passed it
      */
     public boolean isPassed(BackendReport report) {
-        return mPassed || mFirst.filter(first -> !isSameLife(first, report)).isPresent();
-    }
-
-    private static boolean isSameLife(BackendReport one, BackendReport other) {
-        return one.instanceId().equals(other.instanceId())
-                && one.bornMillis() == other.bornMillis();
+        return mPassed || mFirst.filter(first -> !first.isSameLife(report)).isPresent();
     }
 
     /**
@@ -82,8 +77,7 @@
             mChecked = false;
         }
         boolean followed =
-                mHeartbeats >= TRUSTED_HEARTBEATS
-                        && now - mFirstHeardMillis > (TRUSTED_HEARTBEATS - 2) * mHeartbeatMillis;
+                mHeartbeats >= TRUSTED_HEARTBEATS && now - mFirstHeardMillis > mHeartbeatMillis;
         if (healthPath.isEmpty() || followed) {
             mPassed = true;
             mOnPassed.run();
--- a/oriolewind-node/src/main/java/org/oriolewind/node/http/HttpExchanges.java
+++ b/oriolewind-node/src/main/java/org/oriolewind/node/http/HttpExchanges.java
@@ -172,9 +172,4 @@
         mOpen--;
         mIdle.remove(connection);
     }
-
-    /** Closes idle connections. */
-    public void closeIdle() {
-        new ArrayDeque<>(mIdle).forEach(HttpConnection::close);
-    }
 }
