--- a/oriolewind-standins/src/main/java/org/oriolewind/standins/FreePorts.java
+++ b/oriolewind-standins/src/main/java/org/oriolewind/standins/FreePorts.java
@@ -35,6 +35,22 @@
         throw new IOException("no free port from " + FIRST_PORT + " to " + LAST_PORT);
     }
 
+    /**
+     * Finds a port whose successor is free too and is not handed out either.
+     *
+     * @return the first of the two ports
+     * @throws IOException if there are none
+     */
+    public synchronized int nextPair() throws IOException {
+        for (int i = 0; i < MAX_TRIES; i++) {
+            int port = next();
+            if (isFree(port + 1) && mTaken.add(port + 1)) {
+                return port;
+            }
+        }
+        throw new IOException("no two free ports from " + FIRST_PORT + " to " + LAST_PORT);
+    }
+
     private static boolean isFree(int port) {
         try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
             return socket.isBound();
