--- a/oriolewind-core/src/main/java/org/oriolewind/dispatch/RoutedRequest.java
+++ b/oriolewind-core/src/main/java/org/oriolewind/dispatch/RoutedRequest.java
@@ -11,6 +11,7 @@
 import org.oriolewind.policy.DocumentKind;
 import org.oriolewind.policy.TrafficRoute;
 import org.oriolewind.request.Cancellable;
+import org.oriolewind.trial.CallEnd;
 import org.oriolewind.trial.TrialShare;
 import org.oriolewind.wire.BackendEntry;
 import org.oriolewind.wire.CallAnswer;
@@ -141,23 +142,32 @@
         boolean explore = mRoute.kind().mayRunAgain() && mTried.isEmpty();
         Optional<String> trial = mContext.trials().target(mService);
         if (trial.isEmpty()) {
-            return choose(version -> true, explore);
+            return choose(member -> true, explore);
         }
-        Predicate<String> isNew = version -> version.equals(trial.get());
-        Optional<FleetMember> preferred =
-                choose(mShare == TrialShare.NEW_FIRST ? isNew : isNew.negate(), explore);
+        Predicate<FleetMember> isNew =
+                member -> member.status().getBackend().getVersion().equals(trial.get());
+        Optional<FleetMember> preferred = choose(preferred(isNew), explore);
         if (preferred.isPresent() || mShare == TrialShare.OLD_ONLY) {
             return preferred;
         }
         return choose(isNew.negate(), explore);
     }
 
-    private Optional<FleetMember> choose(Predicate<String> versions, boolean explore) {
+    private Predicate<FleetMember> preferred(Predicate<FleetMember> isNew) {
+        Optional<String> probed = mContext.trials().probed(mService);
+        return switch (mShare) {
+            case SAMPLE, NEW_FIRST -> isNew;
+            case PROBE -> member -> probed.equals(Optional.of(member.status().getNode()));
+            case ANY, OLD_ONLY -> isNew.negate();
+        };
+    }
+
+    private Optional<FleetMember> choose(Predicate<FleetMember> candidates, boolean explore) {
         return mContext.placement()
                 .choose(
                         mService,
                         mRoute.name(),
-                        versions,
+                        candidates,
                         mContext.view(),
                         mTried,
                         Math.max(1, aimLeftMillis()),
@@ -225,9 +235,11 @@
                         mService,
                         backend.getVersion(),
                         mRoute.name(),
-                        failed,
-                        answer.getCold(),
-                        answer.getServiceMicros());
+                        mShare,
+                        new CallEnd(failed, answer.getCold(), answer.getServiceMicros()));
+        if (failed) {
+            mShare = mShare.afterFailure();
+        }
     }
 
     private void onServerAnswer(FleetMember member, CallAnswer answer) {
--- a/oriolewind-core/src/main/java/org/oriolewind/placement/FleetMember.java
+++ b/oriolewind-core/src/main/java/org/oriolewind/placement/FleetMember.java
@@ -154,10 +154,19 @@
      */
     public double expectedMillis(String route) {
         double mean = mMeanMicros > 0 ? mMeanMicros / MICROS_PER_MILLI : UNKNOWN_SERVICE_MILLIS;
-        double ahead = Math.max(0, mLoad + mSentSinceReport + 1 - mLimit);
+        double ahead = Math.max(0, load() + 1 - mLimit);
         return mean * (ahead / mLimit + mRouteCosts.multiple(route).orElse(1.0));
     }
 
+    /**
+     * Returns the calls that are in flight or wait at the node, as far as is known here.
+     *
+     * @return the number at the latest report, with those sent since
+     */
+    public int load() {
+        return mLoad + mSentSinceReport;
+    }
+
     /**
      * Returns the latest status.
      *
--- a/oriolewind-core/src/main/java/org/oriolewind/placement/Placement.java
+++ b/oriolewind-core/src/main/java/org/oriolewind/placement/Placement.java
@@ -57,7 +57,7 @@
      *
      * @param service the service
      * @param route the call's route
-     * @param versions the versions that may take the call
+     * @param candidates the members that may take the call
      * @param view the operators' documents
      * @param tried nodes that this call was sent to before
      * @param aimMillis time left within which an answer is worth most
@@ -67,7 +67,7 @@
     public Optional<FleetMember> choose(
             String service,
             String route,
-            Predicate<String> versions,
+            Predicate<FleetMember> candidates,
             OperatorView view,
             Set<String> tried,
             long aimMillis,
@@ -76,7 +76,7 @@
         List<FleetMember> allowed = new ArrayList<>();
         for (FleetMember member : mFleet.serving(service)) {
             if (mFleet.isHeard(member)
-                    && versions.test(member.status().getBackend().getVersion())
+                    && candidates.test(member)
                     && !view.isOut(member.status().getDataCentre())
                     && !tried.contains(member.status().getNode())) {
                 allowed.add(member);
--- a/oriolewind-core/src/main/java/org/oriolewind/policy/TrialOrder.java
+++ b/oriolewind-core/src/main/java/org/oriolewind/policy/TrialOrder.java
@@ -8,7 +8,7 @@
  * @param service the service's name
  * @param targetVersion the version that shall take over
  * @param durationMillis time for the move, from the order
- * @param createdMillis wall time of the order, 0 if not said
+ * @param orderId identifies the order; a later one for the same service has another id
  * @param revision revision of the document, on which a decision is conditional
  * @param phase the phase written for this target version, empty if none
  */
@@ -16,6 +16,18 @@
         String service,
         String targetVersion,
         long durationMillis,
-        long createdMillis,
+        long orderId,
         long revision,
-        Optional<TrialPhase> phase) {}
+        Optional<TrialPhase> phase) {
+    /**
+     * Returns whether another document tells of the same order, perhaps with another phase.
+     *
+     * @param other the other document's content
+     * @return true if it is the same order
+     */
+    public boolean isSame(TrialOrder other) {
+        return service.equals(other.service)
+                && targetVersion.equals(other.targetVersion)
+                && orderId == other.orderId;
+    }
+}
--- a/oriolewind-core/src/main/java/org/oriolewind/rollout/VersionJudge.java
+++ b/oriolewind-core/src/main/java/org/oriolewind/rollout/VersionJudge.java
@@ -17,7 +17,7 @@
     /** Share of the old version's calls that count as not slow. */
     private static final double SLOW_QUANTILE = 0.9;
 
-    /** Smallest rise of the failed share that matters. */
+    /** Smallest rise of the failed share that matters, as a rule. */
     private static final double FAILURE_HARM = 0.05;
 
     /** Smallest rise of the slow share that matters. */
@@ -39,6 +39,7 @@
     private static final long MIN_OLD_CALLS = 20;
 
     private final ProportionRule mRule;
+    private final double mFailureHarm;
 
     /**
      * Creates a judge.
@@ -46,7 +47,18 @@
      * @param rule the rule for each proportion
      */
     public VersionJudge(ProportionRule rule) {
+        this(rule, FAILURE_HARM);
+    }
+
+    /**
+     * Creates a judge for calls that are few.
+     *
+     * @param rule the rule for each proportion
+     * @param failureHarm smallest rise of the failed share that matters
+     */
+    public VersionJudge(ProportionRule rule, double failureHarm) {
         mRule = rule;
+        mFailureHarm = failureHarm;
     }
 
     /** The verdicts on one route. */
@@ -197,7 +209,7 @@
                 mRule.judge(
                         new Proportion(old.failures(), old.calls()),
                         new Proportion(newTotals.failures(), newTotals.calls()),
-                        FAILURE_HARM,
+                        mFailureHarm,
                         certainty);
         Verdict slowness =
                 old.timedCalls() < MIN_OLD_CALLS
--- a/oriolewind-core/src/main/java/org/oriolewind/trial/TrialBook.java
+++ b/oriolewind-core/src/main/java/org/oriolewind/trial/TrialBook.java
@@ -6,18 +6,30 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.random.RandomGenerator;
+import org.oriolewind.placement.Fleet;
 import org.oriolewind.policy.TrialOrder;
 import org.oriolewind.policy.TrialPhase;
 import org.oriolewind.time.NodeClock;
 import org.oriolewind.wire.EvidenceCount;
+import org.oriolewind.wire.NodeStatus;
+import org.oriolewind.wire.TrialProgress;
 
 /** The trials that operators ordered, by service. Not safe for use by several threads. */
 public final class TrialBook {
     private final NodeClock mClock;
     private final RandomGenerator mRandom;
+    private final ProbeChooser mProbes;
+    private final ExposureBound mBound;
+    private final TrialLog mLog;
     private final Map<String, Trial> mTrials = new HashMap<>();
 
-    /** An outcome to be written. */
+    /**
+     * An outcome to be written.
+     *
+     * @param order the order it belongs to
+     * @param phase the outcome
+     * @param reason why the version was found bad, empty if it was not
+     */
     public record Outcome(TrialOrder order, TrialPhase phase, String reason) {}
 
     /**
@@ -25,10 +37,21 @@
      *
      * @param clock the clock
      * @param random source of choices
+     * @param fleet the nodes, whose backend servers are probed
+     * @param bound calls that may reach a version on trial
+     * @param log takes what is believed of trials
      */
-    public TrialBook(NodeClock clock, RandomGenerator random) {
+    public TrialBook(
+            NodeClock clock,
+            RandomGenerator random,
+            Fleet fleet,
+            ExposureBound bound,
+            TrialLog log) {
         mClock = clock;
         mRandom = random;
+        mProbes = new ProbeChooser(fleet);
+        mBound = bound;
+        mLog = log;
     }
 
     /**
@@ -43,19 +66,31 @@
 
     private void onOrder(String service, TrialOrder order) {
         Trial trial = mTrials.get(service);
-        boolean same = trial != null && trial.order().targetVersion().equals(order.targetVersion());
-        if (same) {
+        if (trial != null && trial.order().isSame(order)) {
             trial.update(order);
         } else {
-            mTrials.put(service, new Trial(order, startMillis(order)));
+            mTrials.put(service, new Trial(order, mClock.monotonicMillis(), mBound, mLog));
         }
     }
 
-    /** Start on the monotonic clock; a node that came later reads the order's age off the clock. */
-    private long startMillis(TrialOrder order) {
+    /**
+     * Takes the counts and the progress that another node reports.
+     *
+     * @param status its whole status
+     */
+    public void onStatus(NodeStatus status) {
         long now = mClock.monotonicMillis();
-        long ageMillis = order.createdMillis() == 0 ? 0 : mClock.millis() - order.createdMillis();
-        return now - Math.max(0, Math.min(order.durationMillis(), ageMillis));
+        for (TrialProgress progress : status.getTrialProgressList()) {
+            Trial trial = mTrials.get(progress.getService());
+            if (trial != null && trial.isSame(progress)) {
+                List<EvidenceCount> counts =
+                        status.getTrialCountsList().stream()
+                                .filter(c -> c.getService().equals(progress.getService()))
+                                .toList();
+                trial.onCounts(status, counts);
+                trial.onProgress(status.getNode(), progress, now);
+            }
+        }
     }
 
     /**
@@ -66,7 +101,7 @@
      */
     public TrialShare share(String service) {
         Trial trial = mTrials.get(service);
-        return trial == null ? TrialShare.ANY : trial.share(mRandom, mClock.monotonicMillis());
+        return trial == null ? TrialShare.ANY : trial.share(mRandom);
     }
 
     /**
@@ -79,26 +114,29 @@
         return Optional.ofNullable(mTrials.get(service)).map(t -> t.order().targetVersion());
     }
 
+    /**
+     * Returns the node whose backend server is probed under load.
+     *
+     * @param service the service
+     * @return its name, empty if none is
+     */
+    public Optional<String> probed(String service) {
+        return Optional.ofNullable(mTrials.get(service)).flatMap(Trial::probed);
+    }
+
     /**
      * Counts the end of a call at a backend server.
      *
      * @param service the service
      * @param version the version
      * @param route the route
-     * @param failed whether it failed
-     * @param cold whether the backend server was cold
-     * @param micros time in the backend server
+     * @param share the share that the call fell in
+     * @param end how it ended
      */
-    public void count(
-            String service,
-            String version,
-            String route,
-            boolean failed,
-            boolean cold,
-            long micros) {
+    public void count(String service, String version, String route, TrialShare share, CallEnd end) {
         Trial trial = mTrials.get(service);
         if (trial != null) {
-            trial.count(version, route, failed, cold, micros);
+            trial.count(version, route, share, end);
         }
     }
 
@@ -108,35 +146,45 @@
      * @return the counts since each trial began
      */
     public List<EvidenceCount> counts() {
-        List<EvidenceCount> counts = new ArrayList<>();
-        mTrials.values().stream()
-                .filter(t -> t.order().phase().filter(TrialPhase::isFinal).isEmpty())
-                .forEach(t -> counts.addAll(t.counts()));
-        return counts;
+        return open().stream().flatMap(trial -> trial.counts().stream()).toList();
     }
 
     /**
-     * Judges the trials that run.
+     * Returns how far the trials are.
+     *
+     * @return the progress of each trial that runs
+     */
+    public List<TrialProgress> progress() {
+        long now = mClock.monotonicMillis();
+        return open().stream().map(trial -> trial.progress(now)).toList();
+    }
+
+    /**
+     * Returns the time after which counts have to be reported to other nodes.
+     *
+     * @return milliseconds, empty if no trial runs
+     */
+    public Optional<Long> reportMillis() {
+        return open().stream().map(trial -> trial.stage().reportMillis()).min(Long::compare);
+    }
+
+    private List<Trial> open() {
+        return mTrials.values().stream().filter(Trial::isOpen).toList();
+    }
+
+    /**
+     * Judges the trials that run. To be called several times a second.
      *
-     * @param ofOthers the counts of all other nodes
      * @return the outcomes that are due
      */
-    public List<Outcome> judge(List<EvidenceCount> ofOthers) {
+    public List<Outcome> judge() {
+        long now = mClock.monotonicMillis();
         List<Outcome> outcomes = new ArrayList<>();
-        for (Map.Entry<String, Trial> entry : mTrials.entrySet()) {
-            Trial trial = entry.getValue();
-            List<EvidenceCount> counts = new ArrayList<>(trial.counts());
-            for (EvidenceCount count : ofOthers) {
-                if (count.getService().equals(entry.getKey())) {
-                    counts.add(count);
-                }
-            }
-            trial.judge(counts);
-            trial.due(mClock.monotonicMillis())
-                    .ifPresent(
-                            phase ->
-                                    outcomes.add(
-                                            new Outcome(trial.order(), phase, trial.reason())));
+        for (Trial trial : open()) {
+            TrialOrder order = trial.order();
+            trial.judge(mProbes.choose(order.service(), order.targetVersion()), now);
+            trial.due(now)
+                    .ifPresent(phase -> outcomes.add(new Outcome(order, phase, trial.fault())));
         }
         return outcomes;
     }
--- /dev/null
+++ b/oriolewind-core/src/main/java/org/oriolewind/trial/TrialLog.java
@@ -0,0 +1,14 @@
+package org.oriolewind.trial;
+
+/** Takes what a node comes to believe about trials. Implementations never block. */
+public interface TrialLog {
+    /**
+     * The belief about a trial changed.
+     *
+     * @param service the service
+     * @param version the version on trial
+     * @param belief what is believed now
+     * @param inputs the evidence it rests on
+     */
+    void onBelief(String service, String version, String belief, String inputs);
+}
--- a/oriolewind-core/src/test/java/org/oriolewind/dispatch/RoutedRequestTest.java
+++ b/oriolewind-core/src/test/java/org/oriolewind/dispatch/RoutedRequestTest.java
@@ -28,6 +28,7 @@
 import org.oriolewind.request.Cancellable;
 import org.oriolewind.time.FakeClock;
 import org.oriolewind.time.FakeTimers;
+import org.oriolewind.trial.ExposureBound;
 import org.oriolewind.trial.TrialBook;
 import org.oriolewind.wire.BackendEntry;
 import org.oriolewind.wire.BackendPhase;
@@ -94,7 +95,12 @@
                                 new Placement("dc", mClock, new Random(1), mFleet),
                                 new SplitChooser(),
                                 new RepeatBudget(mClock, 0.2, 60, 10_000, () -> 1),
-                                new TrialBook(mClock, new Random(1)),
+                                new TrialBook(
+                                        mClock,
+                                        new Random(1),
+                                        mFleet,
+                                        new ExposureBound(0.1, 50),
+                                        (service, version, belief, inputs) -> {}),
                                 (request, done) -> send("self", request, done),
                                 this::send,
                                 new NoLog()));
--- a/oriolewind-core/src/test/java/org/oriolewind/trial/TrialBookTest.java
+++ b/oriolewind-core/src/test/java/org/oriolewind/trial/TrialBookTest.java
@@ -10,84 +10,157 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.ValueSource;
+import org.oriolewind.placement.Fleet;
 import org.oriolewind.policy.TrialOrder;
 import org.oriolewind.policy.TrialPhase;
 import org.oriolewind.time.FakeClock;
+import org.oriolewind.wire.EvidenceCount;
+import org.oriolewind.wire.NodeStatus;
 
 /** Trials on modelled calls: bad versions are taken back with few calls, good ones take over. */
 class TrialBookTest {
-    private static final int CALLS_PER_SECOND = 80;
-    private static final long DURATION_MILLIS = 16_000;
-    private static final long OLD_MICROS = 160_000;
+    private static final int CALLS_PER_SECOND = 75;
+    private static final int SEEDS = 20;
 
     /** Share of the calls that a bad version may get, and calls besides; bounds of the users. */
     private static final double MAX_SHARE = 0.1;
 
     private static final int MAX_BESIDES = 50;
 
+    private static final TrialModel.Behaviour GOOD = (elapsed, inFlight, route) -> 0.004;
+
     private final FakeClock mClock = new FakeClock();
 
-    private record Result(Optional<TrialPhase> phase, int newCalls, int allCalls, long millis) {}
+    /** Ways in which a version is bad. */
+    enum Fault implements TrialModel.Behaviour {
+        ERRORS {
+            @Override
+            public double failures(long elapsedMillis, int inFlight, String route) {
+                return 0.36;
+            }
+        },
+        SLOW {
+            @Override
+            public double failures(long elapsedMillis, int inFlight, String route) {
+                return 0.004;
+            }
 
-    private static TrialOrder order(Optional<TrialPhase> phase) {
-        return new TrialOrder("s", "v2", DURATION_MILLIS, 0, 1, phase);
-    }
+            @Override
+            public double slowness(long elapsedMillis, int inFlight) {
+                return 8;
+            }
+        },
+        LATE {
+            @Override
+            public double failures(long elapsedMillis, int inFlight, String route) {
+                return elapsedMillis < 4000 ? 0.004 : 0.5;
+            }
+        },
+        LATE_AND_SLOW {
+            @Override
+            public double failures(long elapsedMillis, int inFlight, String route) {
+                return 0.004;
+            }
+
+            @Override
+            public double slowness(long elapsedMillis, int inFlight) {
+                return elapsedMillis < 3000 ? 1 : 5;
+            }
+        },
+        ONE_ROUTE {
+            @Override
+            public double failures(long elapsedMillis, int inFlight, String route) {
+                return route.equals(TrialModel.RARE_ROUTE) ? 0.5 : 0.004;
+            }
+        },
+        UNDER_LOAD {
+            @Override
+            public double failures(long elapsedMillis, int inFlight, String route) {
+                return inFlight >= 3 ? 0.5 : 0.004;
+            }
+        },
+        SLOW_UNDER_LOAD {
+            @Override
+            public double failures(long elapsedMillis, int inFlight, String route) {
+                return 0.004;
+            }
 
-    private Result play(long seed, double failures, double slowFactor, long badAfterMillis) {
-        Random random = new Random(seed);
-        TrialBook book = new TrialBook(mClock, random);
-        book.onOrders(Map.of("s", order(Optional.empty())));
-        long start = mClock.monotonicMillis();
-        int newCalls = 0;
-        int calls = 0;
-        while (mClock.monotonicMillis() - start < DURATION_MILLIS) {
-            mClock.advanceMillis(1000 / CALLS_PER_SECOND);
-            long elapsed = mClock.monotonicMillis() - start;
-            calls++;
-            boolean isNew = book.share("s") == TrialShare.NEW_FIRST;
-            newCalls += isNew ? 1 : 0;
-            boolean bad = isNew && elapsed >= badAfterMillis;
-            boolean failed = random.nextDouble() < (bad ? failures : 0.004);
-            double spread = Math.exp(random.nextGaussian() * 0.5);
-            long micros = (long) (OLD_MICROS * spread * (bad ? slowFactor : 1));
-            book.count("s", isNew ? "v2" : "v1", "r", failed, false, micros);
-            if (calls % 10 == 0) {
-                List<TrialBook.Outcome> outcomes = book.judge(List.of());
-                if (!outcomes.isEmpty()) {
-                    TrialPhase phase = outcomes.get(0).phase();
-                    return new Result(Optional.of(phase), newCalls, calls, elapsed);
-                }
+            @Override
+            public double slowness(long elapsedMillis, int inFlight) {
+                return inFlight >= 3 ? 8 : 1;
             }
         }
-        return new Result(Optional.empty(), newCalls, calls, DURATION_MILLIS);
+    }
+
+    private static TrialOrder order(String version, long id, Optional<TrialPhase> phase) {
+        return new TrialOrder("s", version, TrialModel.DURATION_MILLIS, id, 1, phase);
+    }
+
+    private TrialBook book() {
+        return new TrialBook(
+                mClock,
+                new Random(1),
+                new Fleet(mClock),
+                new ExposureBound(MAX_SHARE, MAX_BESIDES),
+                (service, version, belief, inputs) -> {});
     }
 
     @ParameterizedTest
-    @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10})
-    void goodVersionTakesOverInTime(long seed) {
-        Result result = play(seed, 0.004, 1, 0);
-        assertEquals(Optional.of(TrialPhase.COMPLETED), result.phase());
-        assertTrue(result.millis() < DURATION_MILLIS);
+    @ValueSource(ints = {40, CALLS_PER_SECOND, 150})
+    void goodVersionTakesOverInTime(int callsPerSecond) {
+        for (long seed = 1; seed <= SEEDS; seed++) {
+            TrialModel model = new TrialModel(seed, callsPerSecond, GOOD);
+            TrialModel.Result result = model.play();
+            String context = "seed " + seed + ": " + result + " " + model.beliefs();
+            assertEquals(Optional.of(TrialPhase.COMPLETED), result.phase(), context);
+            assertTrue(result.outcomeMillis() < TrialModel.DURATION_MILLIS, context);
+        }
+    }
+
+    /** A restarted node once counted the time anew, so that nobody completed the trial in time. */
+    @Test
+    void goodVersionTakesOverInTimeWhileNodesRestartInTurn() {
+        for (long seed = 1; seed <= SEEDS; seed++) {
+            TrialModel model =
+                    new TrialModel(seed, CALLS_PER_SECOND, GOOD).restartInTurn(2000, 1500);
+            TrialModel.Result result = model.play();
+            String context = "seed " + seed + ": " + result + " " + model.beliefs();
+            assertEquals(Optional.of(TrialPhase.COMPLETED), result.phase(), context);
+            assertTrue(result.outcomeMillis() < TrialModel.DURATION_MILLIS, context);
+        }
     }
 
     @ParameterizedTest
-    @CsvSource({"0.5, 1, 0", "0.36, 1, 0", "0.5, 1, 4000", "0, 8, 0", "0, 5, 3000"})
-    void badVersionIsTakenBackWithFewCalls(double failures, double slowFactor, long badAfter) {
-        for (long seed = 1; seed <= 10; seed++) {
-            Result result = play(seed, failures, slowFactor, badAfter);
-            assertEquals(Optional.of(TrialPhase.ROLLED_BACK), result.phase(), "seed " + seed);
-            int wholeTime = (int) (CALLS_PER_SECOND * DURATION_MILLIS / 1000);
-            assertTrue(
-                    result.newCalls() <= MAX_SHARE * wholeTime + MAX_BESIDES,
-                    "seed " + seed + ": " + result);
+    @EnumSource(Fault.class)
+    void badVersionIsTakenBackWithFewCalls(Fault fault) {
+        for (long seed = 1; seed <= SEEDS; seed++) {
+            assertTakenBack(seed, new TrialModel(seed, CALLS_PER_SECOND, fault));
         }
     }
 
+    @ParameterizedTest
+    @EnumSource(Fault.class)
+    void badVersionIsTakenBackWithFewCallsWhileNodesRestartInTurn(Fault fault) {
+        for (long seed = 1; seed <= SEEDS; seed++) {
+            assertTakenBack(
+                    seed, new TrialModel(seed, CALLS_PER_SECOND, fault).restartInTurn(2000, 1500));
+        }
+    }
+
+    private static void assertTakenBack(long seed, TrialModel model) {
+        TrialModel.Result result = model.play();
+        String context = "seed " + seed + ": " + result + " " + model.beliefs();
+        assertEquals(Optional.of(TrialPhase.ROLLED_BACK), result.phase(), context);
+        assertTrue(result.newCalls() <= MAX_SHARE * result.allCalls() + MAX_BESIDES, context);
+        assertEquals(0, result.newCallsLater(), context);
+    }
+
     @Test
     void versionTakenBackGetsNothing() {
-        TrialBook book = new TrialBook(mClock, new Random(1));
-        book.onOrders(Map.of("s", order(Optional.of(TrialPhase.ROLLED_BACK))));
+        TrialBook book = book();
+        book.onOrders(Map.of("s", order("v2", 1, Optional.of(TrialPhase.ROLLED_BACK))));
         for (int i = 0; i < 100; i++) {
             assertEquals(TrialShare.OLD_ONLY, book.share("s"));
         }
@@ -95,19 +168,82 @@
 
     @Test
     void completedVersionGetsEverything() {
-        TrialBook book = new TrialBook(mClock, new Random(1));
-        book.onOrders(Map.of("s", order(Optional.of(TrialPhase.COMPLETED))));
+        TrialBook book = book();
+        book.onOrders(Map.of("s", order("v2", 1, Optional.of(TrialPhase.COMPLETED))));
         assertEquals(TrialShare.NEW_FIRST, book.share("s"));
-        assertTrue(book.judge(List.of()).isEmpty());
+        assertTrue(book.judge().isEmpty());
     }
 
-    @Test
-    void newOrderBeginsANewTrial() {
-        TrialBook book = new TrialBook(mClock, new Random(1));
-        book.onOrders(Map.of("s", order(Optional.of(TrialPhase.ROLLED_BACK))));
-        TrialOrder next = new TrialOrder("s", "v3", DURATION_MILLIS, 0, 2, Optional.empty());
-        book.onOrders(Map.of("s", next));
-        assertEquals(Optional.of("v3"), book.target("s"));
+    @ParameterizedTest
+    @CsvSource({"v3, 1", "v2, 2"})
+    void newOrderBeginsANewTrial(String version, long id) {
+        TrialBook book = book();
+        book.onOrders(Map.of("s", order("v2", 1, Optional.of(TrialPhase.ROLLED_BACK))));
+        book.onOrders(Map.of("s", order(version, id, Optional.empty())));
+        assertEquals(Optional.of(version), book.target("s"));
         assertTrue(book.counts().isEmpty());
     }
+
+    /** Counts of a node that ended were once forgotten after 2.5 s, and with them its evidence. */
+    @Test
+    void countsOfANodeThatEndedStay() {
+        TrialBook ended = book();
+        TrialBook other = book();
+        List.of(ended, other)
+                .forEach(b -> b.onOrders(Map.of("s", order("v2", 1, Optional.empty()))));
+        CallEnd good = new CallEnd(false, false, 100_000);
+        for (int i = 0; i < 200; i++) {
+            ended.count("s", "v1", "r", TrialShare.OLD_ONLY, good);
+        }
+        for (int i = 0; i < 20; i++) {
+            ended.count("s", "v2", "r", TrialShare.SAMPLE, new CallEnd(true, false, 100_000));
+        }
+        other.onStatus(status(ended.counts(), ended, 1));
+        mClock.advanceMillis(10 * Fleet.SILENT_MILLIS / 10);
+        assertEquals(TrialPhase.ROLLED_BACK, other.judge().get(0).phase());
+    }
+
+    /**
+     * A node whose clock was ahead, or that started late, was once at another point of the time.
+     */
+    @Test
+    void restartedNodeTakesTheAgeOfTheTrialFromOthers() {
+        TrialBook running = book();
+        running.onOrders(Map.of("s", order("v2", 1, Optional.empty())));
+        mClock.advanceMillis(9000);
+        TrialBook restarted = book();
+        restarted.onOrders(Map.of("s", order("v2", 1, Optional.empty())));
+        restarted.onStatus(status(List.of(), running, 1));
+        assertEquals(9000, restarted.progress().get(0).getAgeMillis());
+    }
+
+    @Test
+    void faultFoundByOneNodeStopsAll() {
+        TrialBook finder = book();
+        TrialBook other = book();
+        List.of(finder, other)
+                .forEach(b -> b.onOrders(Map.of("s", order("v2", 1, Optional.empty()))));
+        for (int i = 0; i < 200; i++) {
+            finder.count("s", "v1", "r", TrialShare.OLD_ONLY, new CallEnd(false, false, 100_000));
+            finder.count("s", "v2", "r", TrialShare.SAMPLE, new CallEnd(true, false, 100_000));
+        }
+        finder.judge();
+        other.onStatus(
+                NodeStatus.newBuilder()
+                        .setNode("finder")
+                        .addAllTrialProgress(finder.progress())
+                        .build());
+        assertEquals(TrialShare.OLD_ONLY, other.share("s"));
+        assertEquals(TrialPhase.ROLLED_BACK, other.judge().get(0).phase());
+    }
+
+    private static NodeStatus status(List<EvidenceCount> counts, TrialBook book, long sequence) {
+        return NodeStatus.newBuilder()
+                .setNode("ended")
+                .setIncarnation(1)
+                .setSequence(sequence)
+                .addAllTrialCounts(counts)
+                .addAllTrialProgress(book.progress())
+                .build();
+    }
 }
--- /dev/null
+++ b/oriolewind-core/src/test/java/org/oriolewind/trial/TrialModel.java
@@ -0,0 +1,355 @@
+package org.oriolewind.trial;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.PriorityQueue;
+import java.util.Random;
+import org.oriolewind.placement.Fleet;
+import org.oriolewind.policy.TrialOrder;
+import org.oriolewind.policy.TrialPhase;
+import org.oriolewind.time.FakeClock;
+import org.oriolewind.wire.BackendEntry;
+import org.oriolewind.wire.BackendPhase;
+import org.oriolewind.wire.EvidenceCount;
+import org.oriolewind.wire.NodeStatus;
+
+/**
+ * A service on trial, with modelled calls and backend servers: several nodes, each with a book of
+ * its own, that tell each other their counts.
+ */
+final class TrialModel {
+    static final long DURATION_MILLIS = 16_000;
+    static final String SERVICE = "s";
+    static final String ROUTE = "r";
+    static final String RARE_ROUTE = "rare";
+
+    private static final TrialOrder ORDER =
+            new TrialOrder(SERVICE, "v2", DURATION_MILLIS, 7, 9, Optional.empty());
+    private static final int NODES = 8;
+    private static final int SERVERS = 4;
+    private static final int SLOTS = 6;
+    private static final double RARE_SHARE = 0.3;
+    private static final double MEAN_MILLIS = 160;
+    private static final double OLD_FAILURES = 0.004;
+    private static final long STEP_MILLIS = 10;
+    private static final long TICK_MILLIS = 100;
+    private static final long WRITE_MILLIS = 50;
+
+    /** Time for which a node that ends is away. */
+    private static final long RESTART_MILLIS = 1500;
+
+    /** Time after the outcome or the time limit for which calls go on. */
+    private static final long AFTER_MILLIS = 8000;
+
+    /** Bad answers after which calls to a bad version have to end. */
+    private static final int MANY_BAD = 50;
+
+    /** How a version answers a call. */
+    interface Behaviour {
+        /**
+         * Returns the chance that a call fails.
+         *
+         * @param elapsedMillis time since the order
+         * @param inFlight calls at the backend server, this one included
+         * @param route the call's route
+         */
+        double failures(long elapsedMillis, int inFlight, String route);
+
+        /** Returns by how much a call takes longer. */
+        default double slowness(long elapsedMillis, int inFlight) {
+            return 1;
+        }
+    }
+
+    /**
+     * What became of the trial.
+     *
+     * @param phase the outcome, empty if there was none
+     * @param outcomeMillis when it was written
+     * @param newCalls calls to the new version until the time limit
+     * @param allCalls all calls until the time limit
+     * @param newCallsLater calls to the new version later than 5 s after its 50th bad answer
+     */
+    record Result(
+            Optional<TrialPhase> phase,
+            long outcomeMillis,
+            int newCalls,
+            int allCalls,
+            int newCallsLater) {}
+
+    private final class Server {
+        final boolean mNew;
+        final String mNode;
+        int mInFlight;
+
+        Server(boolean isNew, int index) {
+            mNew = isNew;
+            mNode = (isNew ? "new-" : "old-") + index;
+        }
+
+        NodeStatus status() {
+            return NodeStatus.newBuilder()
+                    .setNode(mNode)
+                    .setIncarnation(1)
+                    .setSequence(++mSequence)
+                    .setDataCentre("dc")
+                    .setPeerAddress(mNode)
+                    .setLimit(SLOTS)
+                    .setInFlight(mInFlight)
+                    .setBackend(
+                            BackendEntry.newBuilder()
+                                    .setInstanceId("i-" + mNode)
+                                    .setService(SERVICE)
+                                    .setVersion(mNew ? "v2" : "v1")
+                                    .setPhase(BackendPhase.BACKEND_PHASE_READY)
+                                    .setSlots(SLOTS))
+                    .build();
+        }
+    }
+
+    /** One life of a node. */
+    private final class Node {
+        final String mName;
+        final long mIncarnation;
+        final Fleet mFleet = new Fleet(mClock);
+        final TrialBook mBook =
+                new TrialBook(
+                        mClock,
+                        mRandom,
+                        mFleet,
+                        new ExposureBound(0.1, 50),
+                        (service, version, belief, inputs) ->
+                                mBeliefs.add(elapsed() + " " + belief + "; " + inputs));
+        final OutcomeTurns mTurns = new OutcomeTurns(mClock);
+        long mUpSinceMillis;
+        long mReportedMillis;
+
+        Node(int index, long upSinceMillis) {
+            mName = "node-" + index;
+            mIncarnation = upSinceMillis;
+            mUpSinceMillis = upSinceMillis;
+        }
+
+        boolean isUp() {
+            return mClock.monotonicMillis() >= mUpSinceMillis;
+        }
+
+        NodeStatus status() {
+            return NodeStatus.newBuilder()
+                    .setNode(mName)
+                    .setIncarnation(mIncarnation)
+                    .setSequence(++mSequence)
+                    .addAllTrialCounts(mBook.counts())
+                    .addAllTrialProgress(mBook.progress())
+                    .build();
+        }
+    }
+
+    private record Call(
+            Node node,
+            Server server,
+            String route,
+            TrialShare share,
+            boolean failed,
+            long micros,
+            long endMillis) {}
+
+    private final FakeClock mClock = new FakeClock();
+    private final Random mRandom;
+    private final Behaviour mNewVersion;
+    private final int mCallsPerSecond;
+    private final List<Node> mNodes = new ArrayList<>();
+    private final List<Server> mServers = new ArrayList<>();
+    private final PriorityQueue<Call> mCalls =
+            new PriorityQueue<>((a, b) -> Long.compare(a.endMillis(), b.endMillis()));
+    private final Map<Integer, List<Long>> mRestarts = new HashMap<>();
+    private final List<String> mBeliefs = new ArrayList<>();
+    private long mSequence;
+    private Optional<TrialPhase> mPhase = Optional.empty();
+    private long mOutcomeMillis;
+    private int mNewCalls;
+    private int mAllCalls;
+    private int mBadAnswers;
+    private long mManyBadMillis = Long.MAX_VALUE / 2;
+    private int mNewCallsLater;
+
+    TrialModel(long seed, int callsPerSecond, Behaviour newVersion) {
+        mRandom = new Random(seed);
+        mCallsPerSecond = callsPerSecond;
+        mNewVersion = newVersion;
+        for (int i = 0; i < SERVERS; i++) {
+            mServers.add(new Server(false, i));
+            mServers.add(new Server(true, i));
+        }
+    }
+
+    /** Makes the nodes end and start again in turn, from a time after the order on. */
+    TrialModel restartInTurn(long fromMillis, long gapMillis) {
+        for (int i = 0; i < NODES; i++) {
+            mRestarts.computeIfAbsent(i, k -> new ArrayList<>()).add(fromMillis + i * gapMillis);
+        }
+        return this;
+    }
+
+    private long elapsed() {
+        return mClock.monotonicMillis();
+    }
+
+    Result play() {
+        for (int i = 0; i < NODES; i++) {
+            Node node = new Node(i, 0);
+            mNodes.add(node);
+            node.mBook.onOrders(Map.of(SERVICE, ORDER));
+        }
+        long end = DURATION_MILLIS + AFTER_MILLIS;
+        while (elapsed() < end) {
+            if (elapsed() % TICK_MILLIS == 0) {
+                tick();
+            }
+            mClock.advanceMillis(STEP_MILLIS);
+            while (!mCalls.isEmpty() && mCalls.peek().endMillis() <= elapsed()) {
+                onEnd(mCalls.poll());
+            }
+            double expected = mCallsPerSecond * STEP_MILLIS / 1000.0;
+            int arrivals = (int) expected;
+            arrivals += mRandom.nextDouble() < expected - arrivals ? 1 : 0;
+            for (int i = 0; i < arrivals; i++) {
+                begin();
+            }
+        }
+        return new Result(mPhase, mOutcomeMillis, mNewCalls, mAllCalls, mNewCallsLater);
+    }
+
+    /** Returns what the nodes came to believe, in order. */
+    List<String> beliefs() {
+        return mBeliefs;
+    }
+
+    private void tick() {
+        mRestarts.forEach(
+                (index, times) -> {
+                    if (times.contains(elapsed())) {
+                        Node node = new Node(index, elapsed() + RESTART_MILLIS);
+                        node.mBook.onOrders(Map.of(SERVICE, order()));
+                        mNodes.set(index, node);
+                    }
+                });
+        List<NodeStatus> loads = mServers.stream().map(Server::status).toList();
+        int rank = 0;
+        for (Node node : mNodes) {
+            if (node.isUp()) {
+                loads.forEach(node.mFleet::onStatus);
+                decide(node, rank++);
+                report(node);
+            }
+        }
+    }
+
+    private void decide(Node node, int rank) {
+        for (TrialBook.Outcome outcome : node.mTurns.due(node.mBook.judge(), rank)) {
+            if (mPhase.isEmpty()) {
+                mPhase = Optional.of(outcome.phase());
+                mOutcomeMillis = elapsed();
+            }
+        }
+        if (mPhase.isPresent() && elapsed() >= mOutcomeMillis + WRITE_MILLIS) {
+            node.mBook.onOrders(Map.of(SERVICE, order()));
+        }
+    }
+
+    private TrialOrder order() {
+        return new TrialOrder(SERVICE, "v2", DURATION_MILLIS, ORDER.orderId(), 10, mPhase);
+    }
+
+    private void report(Node node) {
+        long due = node.mBook.reportMillis().orElse(Long.MAX_VALUE);
+        if (elapsed() - node.mReportedMillis < due) {
+            return;
+        }
+        node.mReportedMillis = elapsed();
+        NodeStatus status = node.status();
+        mNodes.stream()
+                .filter(other -> other != node && other.isUp())
+                .forEach(other -> other.mBook.onStatus(status));
+    }
+
+    private void begin() {
+        List<Node> up = mNodes.stream().filter(Node::isUp).toList();
+        Node node = up.get(mRandom.nextInt(up.size()));
+        TrialShare share = node.mBook.share(SERVICE);
+        Server server = choose(node, share);
+        server.mInFlight++;
+        String route = mRandom.nextDouble() < RARE_SHARE ? RARE_ROUTE : ROUTE;
+        double failures =
+                server.mNew
+                        ? mNewVersion.failures(elapsed(), server.mInFlight, route)
+                        : OLD_FAILURES;
+        double slowness = server.mNew ? mNewVersion.slowness(elapsed(), server.mInFlight) : 1;
+        double millis = MEAN_MILLIS * Math.exp(mRandom.nextGaussian() * 0.5 - 0.125) * slowness;
+        boolean failed = mRandom.nextDouble() < failures;
+        countNew(server);
+        mCalls.add(
+                new Call(
+                        node,
+                        server,
+                        route,
+                        share,
+                        failed,
+                        (long) (millis * 1000),
+                        elapsed() + (long) millis));
+    }
+
+    private void countNew(Server server) {
+        if (elapsed() <= DURATION_MILLIS) {
+            mAllCalls++;
+            mNewCalls += server.mNew ? 1 : 0;
+        }
+        if (server.mNew && elapsed() > mManyBadMillis + 5000) {
+            mNewCallsLater++;
+        }
+    }
+
+    private Server choose(Node node, TrialShare share) {
+        boolean toNew = share == TrialShare.SAMPLE || share == TrialShare.NEW_FIRST;
+        Optional<Server> probed =
+                mServers.stream()
+                        .filter(s -> node.mBook.probed(SERVICE).equals(Optional.of(s.mNode)))
+                        .filter(s -> s.mInFlight < SLOTS)
+                        .findFirst();
+        if (share == TrialShare.PROBE && probed.isPresent()) {
+            return probed.get();
+        }
+        List<Server> allowed = mServers.stream().filter(s -> s.mNew == toNew).toList();
+        Server one = allowed.get(mRandom.nextInt(SERVERS));
+        Server other = allowed.get(mRandom.nextInt(SERVERS));
+        return one.mInFlight <= other.mInFlight ? one : other;
+    }
+
+    private void onEnd(Call call) {
+        call.server().mInFlight--;
+        boolean bad = call.server().mNew && (call.failed() || call.micros() > 3_000_000);
+        mBadAnswers += bad ? 1 : 0;
+        if (mBadAnswers == MANY_BAD && bad) {
+            mManyBadMillis = elapsed();
+        }
+        // What a node that ended meanwhile had under way is counted by nobody.
+        if (mNodes.contains(call.node())) {
+            call.node()
+                    .mBook
+                    .count(
+                            SERVICE,
+                            call.server().mNew ? "v2" : "v1",
+                            call.route(),
+                            call.share(),
+                            new CallEnd(call.failed(), false, call.micros()));
+        }
+    }
+
+    /** Returns all counts that the nodes hold of their own calls. */
+    List<EvidenceCount> counts() {
+        return mNodes.stream().flatMap(node -> node.mBook.counts().stream()).toList();
+    }
+}
--- a/oriolewind-wire/src/main/java/org/oriolewind/wire/EvidenceCount.java
+++ b/oriolewind-wire/src/main/java/org/oriolewind/wire/EvidenceCount.java
@@ -255,6 +255,21 @@
   }
   private int latencyBucketsMemoizedSerializedSize = -1;
 
+  public static final int UNDER_LOAD_FIELD_NUMBER = 9;
+  private boolean underLoad_ = false;
+  /**
+   * <pre>
+   * Set if the calls were sent to probe a backend server of the new version under load.
+   * </pre>
+   *
+   * <code>bool under_load = 9;</code>
+   * @return The underLoad.
+   */
+  @java.lang.Override
+  public boolean getUnderLoad() {
+    return underLoad_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -298,6 +313,9 @@
     for (int i = 0; i < latencyBuckets_.size(); i++) {
       output.writeUInt32NoTag(latencyBuckets_.getInt(i));
     }
+    if (underLoad_ != false) {
+      output.writeBool(9, underLoad_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -341,6 +359,10 @@
       }
       latencyBucketsMemoizedSerializedSize = dataSize;
     }
+    if (underLoad_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(9, underLoad_);
+    }
     return size;
   }
   @java.lang.Override
@@ -381,6 +403,8 @@
         != other.getRefusals()) return false;
     if (!getLatencyBucketsList()
         .equals(other.getLatencyBucketsList())) return false;
+    if (getUnderLoad()
+        != other.getUnderLoad()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -414,6 +438,9 @@
       hash = (37 * hash) + LATENCY_BUCKETS_FIELD_NUMBER;
       hash = (53 * hash) + getLatencyBucketsList().hashCode();
     }
+    hash = (37 * hash) + UNDER_LOAD_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getUnderLoad());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -553,6 +580,7 @@
       coldCalls_ = 0L;
       refusals_ = 0L;
       latencyBuckets_ = emptyIntList();
+      underLoad_ = false;
       return this;
     }
 
@@ -611,6 +639,9 @@
         latencyBuckets_.makeImmutable();
         result.latencyBuckets_ = latencyBuckets_;
       }
+      if (((from_bitField0_ & 0x00000100) != 0)) {
+        result.underLoad_ = underLoad_;
+      }
     }
 
     @java.lang.Override
@@ -663,6 +694,9 @@
         }
         onChanged();
       }
+      if (other.getUnderLoad() != false) {
+        setUnderLoad(other.getUnderLoad());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -738,6 +772,11 @@
               input.popLimit(limit);
               break;
             } // case 66
+            case 72: {
+              underLoad_ = input.readBool();
+              bitField0_ |= 0x00000100;
+              break;
+            } // case 72
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1211,6 +1250,50 @@
       return this;
     }
 
+    private boolean underLoad_ ;
+    /**
+     * <pre>
+     * Set if the calls were sent to probe a backend server of the new version under load.
+     * </pre>
+     *
+     * <code>bool under_load = 9;</code>
+     * @return The underLoad.
+     */
+    @java.lang.Override
+    public boolean getUnderLoad() {
+      return underLoad_;
+    }
+    /**
+     * <pre>
+     * Set if the calls were sent to probe a backend server of the new version under load.
+     * </pre>
+     *
+     * <code>bool under_load = 9;</code>
+     * @param value The underLoad to set.
+     * @return This builder for chaining.
+     */
+    public Builder setUnderLoad(boolean value) {
+
+      underLoad_ = value;
+      bitField0_ |= 0x00000100;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Set if the calls were sent to probe a backend server of the new version under load.
+     * </pre>
+     *
+     * <code>bool under_load = 9;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearUnderLoad() {
+      bitField0_ = (bitField0_ & ~0x00000100);
+      underLoad_ = false;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:oriolewind.EvidenceCount)
   }
 
--- a/oriolewind-wire/src/main/java/org/oriolewind/wire/EvidenceCountOrBuilder.java
+++ b/oriolewind-wire/src/main/java/org/oriolewind/wire/EvidenceCountOrBuilder.java
@@ -98,4 +98,14 @@
    * @return The latencyBuckets at the given index.
    */
   int getLatencyBuckets(int index);
+
+  /**
+   * <pre>
+   * Set if the calls were sent to probe a backend server of the new version under load.
+   * </pre>
+   *
+   * <code>bool under_load = 9;</code>
+   * @return The underLoad.
+   */
+  boolean getUnderLoad();
 }
--- a/oriolewind-wire/src/main/java/org/oriolewind/wire/NodeStatus.java
+++ b/oriolewind-wire/src/main/java/org/oriolewind/wire/NodeStatus.java
@@ -36,6 +36,7 @@
     dataCentre_ = "";
     peerAddress_ = "";
     trialCounts_ = java.util.Collections.emptyList();
+    trialProgress_ = java.util.Collections.emptyList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -557,6 +558,67 @@
     return map.get(key);
   }
 
+  public static final int TRIAL_PROGRESS_FIELD_NUMBER = 16;
+  @SuppressWarnings("serial")
+  private java.util.List<org.oriolewind.wire.TrialProgress> trialProgress_;
+  /**
+   * <pre>
+   * Progress of the trials that run.
+   * </pre>
+   *
+   * <code>repeated .oriolewind.TrialProgress trial_progress = 16;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.oriolewind.wire.TrialProgress> getTrialProgressList() {
+    return trialProgress_;
+  }
+  /**
+   * <pre>
+   * Progress of the trials that run.
+   * </pre>
+   *
+   * <code>repeated .oriolewind.TrialProgress trial_progress = 16;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends org.oriolewind.wire.TrialProgressOrBuilder> 
+      getTrialProgressOrBuilderList() {
+    return trialProgress_;
+  }
+  /**
+   * <pre>
+   * Progress of the trials that run.
+   * </pre>
+   *
+   * <code>repeated .oriolewind.TrialProgress trial_progress = 16;</code>
+   */
+  @java.lang.Override
+  public int getTrialProgressCount() {
+    return trialProgress_.size();
+  }
+  /**
+   * <pre>
+   * Progress of the trials that run.
+   * </pre>
+   *
+   * <code>repeated .oriolewind.TrialProgress trial_progress = 16;</code>
+   */
+  @java.lang.Override
+  public org.oriolewind.wire.TrialProgress getTrialProgress(int index) {
+    return trialProgress_.get(index);
+  }
+  /**
+   * <pre>
+   * Progress of the trials that run.
+   * </pre>
+   *
+   * <code>repeated .oriolewind.TrialProgress trial_progress = 16;</code>
+   */
+  @java.lang.Override
+  public org.oriolewind.wire.TrialProgressOrBuilder getTrialProgressOrBuilder(
+      int index) {
+    return trialProgress_.get(index);
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -622,6 +684,9 @@
         internalGetDocumentDigests(),
         DocumentDigestsDefaultEntryHolder.defaultEntry,
         15);
+    for (int i = 0; i < trialProgress_.size(); i++) {
+      output.writeMessage(16, trialProgress_.get(i));
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -700,6 +765,15 @@
       size += com.google.protobuf.CodedOutputStream
           .computeMessageSize(15, documentDigests__);
     }
+
+        {
+          final int count = trialProgress_.size();
+          for (int i = 0; i < count; i++) {
+            size += com.google.protobuf.CodedOutputStream
+              .computeMessageSizeNoTag(trialProgress_.get(i));
+          }
+          size += 2 * count;
+        }
     return size;
   }
   @java.lang.Override
@@ -757,6 +831,8 @@
         != other.getFollowsStore()) return false;
     if (!internalGetDocumentDigests().equals(
         other.internalGetDocumentDigests())) return false;
+    if (!getTrialProgressList()
+        .equals(other.getTrialProgressList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -811,6 +887,10 @@
       hash = (37 * hash) + DOCUMENT_DIGESTS_FIELD_NUMBER;
       hash = (53 * hash) + internalGetDocumentDigests().hashCode();
     }
+    if (getTrialProgressCount() > 0) {
+      hash = (37 * hash) + TRIAL_PROGRESS_FIELD_NUMBER;
+      hash = (53 * hash) + getTrialProgressList().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -973,6 +1053,7 @@
               .alwaysUseFieldBuilders) {
         internalGetBackendFieldBuilder();
         internalGetTrialCountsFieldBuilder();
+        internalGetTrialProgressFieldBuilder();
       }
     }
     @java.lang.Override
@@ -1004,6 +1085,13 @@
       bitField0_ = (bitField0_ & ~0x00001000);
       followsStore_ = false;
       internalGetMutableDocumentDigests().clear();
+      if (trialProgressBuilder_ == null) {
+        trialProgress_ = java.util.Collections.emptyList();
+      } else {
+        trialProgress_ = null;
+        trialProgressBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00008000);
       return this;
     }
 
@@ -1046,6 +1134,15 @@
       } else {
         result.trialCounts_ = trialCountsBuilder_.build();
       }
+      if (trialProgressBuilder_ == null) {
+        if (((bitField0_ & 0x00008000) != 0)) {
+          trialProgress_ = java.util.Collections.unmodifiableList(trialProgress_);
+          bitField0_ = (bitField0_ & ~0x00008000);
+        }
+        result.trialProgress_ = trialProgress_;
+      } else {
+        result.trialProgress_ = trialProgressBuilder_.build();
+      }
     }
 
     private void buildPartial0(org.oriolewind.wire.NodeStatus result) {
@@ -1187,6 +1284,32 @@
       internalGetMutableDocumentDigests().mergeFrom(
           other.internalGetDocumentDigests());
       bitField0_ |= 0x00004000;
+      if (trialProgressBuilder_ == null) {
+        if (!other.trialProgress_.isEmpty()) {
+          if (trialProgress_.isEmpty()) {
+            trialProgress_ = other.trialProgress_;
+            bitField0_ = (bitField0_ & ~0x00008000);
+          } else {
+            ensureTrialProgressIsMutable();
+            trialProgress_.addAll(other.trialProgress_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.trialProgress_.isEmpty()) {
+          if (trialProgressBuilder_.isEmpty()) {
+            trialProgressBuilder_.dispose();
+            trialProgressBuilder_ = null;
+            trialProgress_ = other.trialProgress_;
+            bitField0_ = (bitField0_ & ~0x00008000);
+            trialProgressBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetTrialProgressFieldBuilder() : null;
+          } else {
+            trialProgressBuilder_.addAllMessages(other.trialProgress_);
+          }
+        }
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -1304,6 +1427,19 @@
               bitField0_ |= 0x00004000;
               break;
             } // case 122
+            case 130: {
+              org.oriolewind.wire.TrialProgress m =
+                  input.readMessage(
+                      org.oriolewind.wire.TrialProgress.parser(),
+                      extensionRegistry);
+              if (trialProgressBuilder_ == null) {
+                ensureTrialProgressIsMutable();
+                trialProgress_.add(m);
+              } else {
+                trialProgressBuilder_.addMessage(m);
+              }
+              break;
+            } // case 130
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -2548,6 +2684,312 @@
       return this;
     }
 
+    private java.util.List<org.oriolewind.wire.TrialProgress> trialProgress_ =
+      java.util.Collections.emptyList();
+    private void ensureTrialProgressIsMutable() {
+      if (!((bitField0_ & 0x00008000) != 0)) {
+        trialProgress_ = new java.util.ArrayList<org.oriolewind.wire.TrialProgress>(trialProgress_);
+        bitField0_ |= 0x00008000;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.oriolewind.wire.TrialProgress, org.oriolewind.wire.TrialProgress.Builder, org.oriolewind.wire.TrialProgressOrBuilder> trialProgressBuilder_;
+
+    /**
+     * <pre>
+     * Progress of the trials that run.
+     * </pre>
+     *
+     * <code>repeated .oriolewind.TrialProgress trial_progress = 16;</code>
+     */
+    public java.util.List<org.oriolewind.wire.TrialProgress> getTrialProgressList() {
+      if (trialProgressBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(trialProgress_);
+      } else {
+        return trialProgressBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <pre>
+     * Progress of the trials that run.
+     * </pre>
+     *
+     * <code>repeated .oriolewind.TrialProgress trial_progress = 16;</code>
+     */
+    public int getTrialProgressCount() {
+      if (trialProgressBuilder_ == null) {
+        return trialProgress_.size();
+      } else {
+        return trialProgressBuilder_.getCount();
+      }
+    }
+    /**
+     * <pre>
+     * Progress of the trials that run.
+     * </pre>
+     *
+     * <code>repeated .oriolewind.TrialProgress trial_progress = 16;</code>
+     */
+    public org.oriolewind.wire.TrialProgress getTrialProgress(int index) {
+      if (trialProgressBuilder_ == null) {
+        return trialProgress_.get(index);
+      } else {
+        return trialProgressBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <pre>
+     * Progress of the trials that run.
+     * </pre>
+     *
+     * <code>repeated .oriolewind.TrialProgress trial_progress = 16;</code>
+     */
+    public Builder setTrialProgress(
+        int index, org.oriolewind.wire.TrialProgress value) {
+      if (trialProgressBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureTrialProgressIsMutable();
+        trialProgress_.set(index, value);
+        onChanged();
+      } else {
+        trialProgressBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Progress of the trials that run.
+     * </pre>
+     *
+     * <code>repeated .oriolewind.TrialProgress trial_progress = 16;</code>
+     */
+    public Builder setTrialProgress(
+        int index, org.oriolewind.wire.TrialProgress.Builder builderForValue) {
+      if (trialProgressBuilder_ == null) {
+        ensureTrialProgressIsMutable();
+        trialProgress_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        trialProgressBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Progress of the trials that run.
+     * </pre>
+     *
+     * <code>repeated .oriolewind.TrialProgress trial_progress = 16;</code>
+     */
+    public Builder addTrialProgress(org.oriolewind.wire.TrialProgress value) {
+      if (trialProgressBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureTrialProgressIsMutable();
+        trialProgress_.add(value);
+        onChanged();
+      } else {
+        trialProgressBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Progress of the trials that run.
+     * </pre>
+     *
+     * <code>repeated .oriolewind.TrialProgress trial_progress = 16;</code>
+     */
+    public Builder addTrialProgress(
+        int index, org.oriolewind.wire.TrialProgress value) {
+      if (trialProgressBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureTrialProgressIsMutable();
+        trialProgress_.add(index, value);
+        onChanged();
+      } else {
+        trialProgressBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Progress of the trials that run.
+     * </pre>
+     *
+     * <code>repeated .oriolewind.TrialProgress trial_progress = 16;</code>
+     */
+    public Builder addTrialProgress(
+        org.oriolewind.wire.TrialProgress.Builder builderForValue) {
+      if (trialProgressBuilder_ == null) {
+        ensureTrialProgressIsMutable();
+        trialProgress_.add(builderForValue.build());
+        onChanged();
+      } else {
+        trialProgressBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Progress of the trials that run.
+     * </pre>
+     *
+     * <code>repeated .oriolewind.TrialProgress trial_progress = 16;</code>
+     */
+    public Builder addTrialProgress(
+        int index, org.oriolewind.wire.TrialProgress.Builder builderForValue) {
+      if (trialProgressBuilder_ == null) {
+        ensureTrialProgressIsMutable();
+        trialProgress_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        trialProgressBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Progress of the trials that run.
+     * </pre>
+     *
+     * <code>repeated .oriolewind.TrialProgress trial_progress = 16;</code>
+     */
+    public Builder addAllTrialProgress(
+        java.lang.Iterable<? extends org.oriolewind.wire.TrialProgress> values) {
+      if (trialProgressBuilder_ == null) {
+        ensureTrialProgressIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, trialProgress_);
+        onChanged();
+      } else {
+        trialProgressBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Progress of the trials that run.
+     * </pre>
+     *
+     * <code>repeated .oriolewind.TrialProgress trial_progress = 16;</code>
+     */
+    public Builder clearTrialProgress() {
+      if (trialProgressBuilder_ == null) {
+        trialProgress_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00008000);
+        onChanged();
+      } else {
+        trialProgressBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Progress of the trials that run.
+     * </pre>
+     *
+     * <code>repeated .oriolewind.TrialProgress trial_progress = 16;</code>
+     */
+    public Builder removeTrialProgress(int index) {
+      if (trialProgressBuilder_ == null) {
+        ensureTrialProgressIsMutable();
+        trialProgress_.remove(index);
+        onChanged();
+      } else {
+        trialProgressBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Progress of the trials that run.
+     * </pre>
+     *
+     * <code>repeated .oriolewind.TrialProgress trial_progress = 16;</code>
+     */
+    public org.oriolewind.wire.TrialProgress.Builder getTrialProgressBuilder(
+        int index) {
+      return internalGetTrialProgressFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <pre>
+     * Progress of the trials that run.
+     * </pre>
+     *
+     * <code>repeated .oriolewind.TrialProgress trial_progress = 16;</code>
+     */
+    public org.oriolewind.wire.TrialProgressOrBuilder getTrialProgressOrBuilder(
+        int index) {
+      if (trialProgressBuilder_ == null) {
+        return trialProgress_.get(index);  } else {
+        return trialProgressBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <pre>
+     * Progress of the trials that run.
+     * </pre>
+     *
+     * <code>repeated .oriolewind.TrialProgress trial_progress = 16;</code>
+     */
+    public java.util.List<? extends org.oriolewind.wire.TrialProgressOrBuilder> 
+         getTrialProgressOrBuilderList() {
+      if (trialProgressBuilder_ != null) {
+        return trialProgressBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(trialProgress_);
+      }
+    }
+    /**
+     * <pre>
+     * Progress of the trials that run.
+     * </pre>
+     *
+     * <code>repeated .oriolewind.TrialProgress trial_progress = 16;</code>
+     */
+    public org.oriolewind.wire.TrialProgress.Builder addTrialProgressBuilder() {
+      return internalGetTrialProgressFieldBuilder().addBuilder(
+          org.oriolewind.wire.TrialProgress.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * Progress of the trials that run.
+     * </pre>
+     *
+     * <code>repeated .oriolewind.TrialProgress trial_progress = 16;</code>
+     */
+    public org.oriolewind.wire.TrialProgress.Builder addTrialProgressBuilder(
+        int index) {
+      return internalGetTrialProgressFieldBuilder().addBuilder(
+          index, org.oriolewind.wire.TrialProgress.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * Progress of the trials that run.
+     * </pre>
+     *
+     * <code>repeated .oriolewind.TrialProgress trial_progress = 16;</code>
+     */
+    public java.util.List<org.oriolewind.wire.TrialProgress.Builder> 
+         getTrialProgressBuilderList() {
+      return internalGetTrialProgressFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.oriolewind.wire.TrialProgress, org.oriolewind.wire.TrialProgress.Builder, org.oriolewind.wire.TrialProgressOrBuilder> 
+        internalGetTrialProgressFieldBuilder() {
+      if (trialProgressBuilder_ == null) {
+        trialProgressBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            org.oriolewind.wire.TrialProgress, org.oriolewind.wire.TrialProgress.Builder, org.oriolewind.wire.TrialProgressOrBuilder>(
+                trialProgress_,
+                ((bitField0_ & 0x00008000) != 0),
+                getParentForChildren(),
+                isClean());
+        trialProgress_ = null;
+      }
+      return trialProgressBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:oriolewind.NodeStatus)
   }
 
--- a/oriolewind-wire/src/main/java/org/oriolewind/wire/NodeStatusOrBuilder.java
+++ b/oriolewind-wire/src/main/java/org/oriolewind/wire/NodeStatusOrBuilder.java
@@ -264,4 +264,48 @@
    */
   long getDocumentDigestsOrThrow(
       java.lang.String key);
+
+  /**
+   * <pre>
+   * Progress of the trials that run.
+   * </pre>
+   *
+   * <code>repeated .oriolewind.TrialProgress trial_progress = 16;</code>
+   */
+  java.util.List<org.oriolewind.wire.TrialProgress> 
+      getTrialProgressList();
+  /**
+   * <pre>
+   * Progress of the trials that run.
+   * </pre>
+   *
+   * <code>repeated .oriolewind.TrialProgress trial_progress = 16;</code>
+   */
+  org.oriolewind.wire.TrialProgress getTrialProgress(int index);
+  /**
+   * <pre>
+   * Progress of the trials that run.
+   * </pre>
+   *
+   * <code>repeated .oriolewind.TrialProgress trial_progress = 16;</code>
+   */
+  int getTrialProgressCount();
+  /**
+   * <pre>
+   * Progress of the trials that run.
+   * </pre>
+   *
+   * <code>repeated .oriolewind.TrialProgress trial_progress = 16;</code>
+   */
+  java.util.List<? extends org.oriolewind.wire.TrialProgressOrBuilder> 
+      getTrialProgressOrBuilderList();
+  /**
+   * <pre>
+   * Progress of the trials that run.
+   * </pre>
+   *
+   * <code>repeated .oriolewind.TrialProgress trial_progress = 16;</code>
+   */
+  org.oriolewind.wire.TrialProgressOrBuilder getTrialProgressOrBuilder(
+      int index);
 }
--- a/oriolewind-wire/src/main/java/org/oriolewind/wire/Peer.java
+++ b/oriolewind-wire/src/main/java/org/oriolewind/wire/Peer.java
@@ -81,6 +81,11 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_oriolewind_EvidenceCount_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_oriolewind_TrialProgress_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_oriolewind_TrialProgress_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_oriolewind_EvidenceReport_descriptor;
   static final 
@@ -196,83 +201,87 @@
       "\003key\030\001 \001(\t\022\r\n\005value\030\002 \001(\t:\0028\001\"\"\n\nConfigP" +
       "ull\022\024\n\014have_version\030\001 \001(\004\"B\n\014MemberUpdat" +
       "e\022#\n\007members\030\001 \003(\0132\022.oriolewind.Member\022\r" +
-      "\n\005whole\030\002 \001(\010\"\250\001\n\rEvidenceCount\022\017\n\007servi" +
+      "\n\005whole\030\002 \001(\010\"\274\001\n\rEvidenceCount\022\017\n\007servi" +
       "ce\030\001 \001(\t\022\027\n\017service_version\030\002 \001(\t\022\r\n\005rou" +
       "te\030\003 \001(\t\022\r\n\005calls\030\004 \001(\004\022\020\n\010failures\030\005 \001(" +
       "\004\022\022\n\ncold_calls\030\006 \001(\004\022\020\n\010refusals\030\007 \001(\004\022" +
-      "\027\n\017latency_buckets\030\010 \003(\r\";\n\016EvidenceRepo" +
-      "rt\022)\n\006counts\030\001 \003(\0132\031.oriolewind.Evidence" +
-      "Count\"%\n\006Header\022\014\n\004name\030\001 \001(\t\022\r\n\005value\030\002" +
-      " \001(\t\"\223\003\n\013CallRequest\022\016\n\006stream\030\001 \001(\004\022\017\n\007" +
-      "service\030\002 \001(\t\022\027\n\017service_version\030\003 \001(\t\022\r" +
-      "\n\005route\030\004 \001(\t\022\016\n\006method\030\005 \001(\t\022\014\n\004path\030\006 " +
-      "\001(\t\022#\n\007headers\030\007 \003(\0132\022.oriolewind.Header" +
-      "\022\014\n\004body\030\010 \001(\014\022\026\n\016timeout_millis\030\t \001(\r\022\014" +
-      "\n\004hops\030\n \001(\r\022\022\n\nidempotent\030\013 \001(\010\022\027\n\017idem" +
-      "potency_key\030\014 \001(\t\022\017\n\007call_id\030\r \001(\t\022/\n\rke" +
-      "y_operation\030\016 \001(\0162\030.oriolewind.KeyOperat" +
-      "ion\022\027\n\017target_instance\030\017 \001(\t\022\022\n\naim_mill" +
-      "is\030\020 \001(\r\022\026\n\016caller_service\030\021 \001(\t\022\020\n\010prio" +
-      "rity\030\022 \001(\r\"\274\002\n\nCallAnswer\022\016\n\006stream\030\001 \001(" +
-      "\004\022(\n\007outcome\030\002 \001(\0162\027.oriolewind.CallOutc" +
-      "ome\0220\n\016not_run_reason\030\003 \001(\0162\030.oriolewind" +
-      ".NotRunReason\022\016\n\006status\030\004 \001(\r\022#\n\007headers" +
-      "\030\005 \003(\0132\022.oriolewind.Header\022\014\n\004body\030\006 \001(\014" +
-      "\022\026\n\016service_micros\030\007 \001(\004\022\014\n\004cold\030\010 \001(\010\022\r" +
-      "\n\005limit\030\t \001(\r\022\021\n\tin_flight\030\n \001(\r\022\032\n\022retr" +
-      "y_after_millis\030\013 \001(\r\022\033\n\023mean_service_mic" +
-      "ros\030\014 \001(\004\"\034\n\nCallCancel\022\016\n\006stream\030\001 \001(\004\"" +
-      "!\n\nCallGoAway\022\023\n\013last_stream\030\001 \001(\004\"\247\001\n\014B" +
-      "ackendEntry\022\023\n\013instance_id\030\001 \001(\t\022\023\n\013born" +
-      "_millis\030\002 \001(\004\022\017\n\007service\030\003 \001(\t\022\017\n\007versio" +
-      "n\030\004 \001(\t\022\'\n\005phase\030\005 \001(\0162\030.oriolewind.Back" +
-      "endPhase\022\r\n\005slots\030\006 \001(\r\022\023\n\013cold_millis\030\007" +
-      " \001(\r\"\315\004\n\nNodeStatus\022\014\n\004node\030\001 \001(\t\022\023\n\013inc" +
-      "arnation\030\002 \001(\004\022\020\n\010sequence\030\003 \001(\004\022\023\n\013data" +
-      "_centre\030\004 \001(\t\022\024\n\014peer_address\030\005 \001(\t\022)\n\007b" +
-      "ackend\030\006 \001(\0132\030.oriolewind.BackendEntry\022\r" +
-      "\n\005limit\030\007 \001(\r\022\021\n\tin_flight\030\010 \001(\r\022\033\n\023mean" +
-      "_service_micros\030\t \001(\004\022\030\n\020failure_permill" +
-      "e\030\n \001(\r\022\017\n\007leaving\030\013 \001(\010\022I\n\022document_rev" +
-      "isions\030\014 \003(\0132-.oriolewind.NodeStatus.Doc" +
-      "umentRevisionsEntry\022/\n\014trial_counts\030\r \003(" +
-      "\0132\031.oriolewind.EvidenceCount\022\025\n\rfollows_" +
-      "store\030\016 \001(\010\022E\n\020document_digests\030\017 \003(\0132+." +
-      "oriolewind.NodeStatus.DocumentDigestsEnt" +
-      "ry\0328\n\026DocumentRevisionsEntry\022\013\n\003key\030\001 \001(" +
-      "\t\022\r\n\005value\030\002 \001(\004:\0028\001\0326\n\024DocumentDigestsE" +
-      "ntry\022\013\n\003key\030\001 \001(\t\022\r\n\005value\030\002 \001(\004:\0028\001\"\035\n\014" +
-      "DocumentPull\022\r\n\005kinds\030\001 \003(\t\";\n\010Document\022" +
-      "\014\n\004name\030\001 \001(\t\022\020\n\010revision\030\002 \001(\004\022\017\n\007conte" +
-      "nt\030\003 \001(\014\"\\\n\013DocumentSet\022\014\n\004kind\030\001 \001(\t\022\026\n" +
-      "\016as_of_revision\030\002 \001(\004\022\'\n\tdocuments\030\003 \003(\013" +
-      "2\024.oriolewind.Document*\214\001\n\013LinkPurpose\022\034" +
-      "\n\030LINK_PURPOSE_UNSPECIFIED\020\000\022\026\n\022LINK_PUR" +
-      "POSE_CHILD\020\001\022\027\n\023LINK_PURPOSE_BRIDGE\020\002\022\026\n" +
-      "\022LINK_PURPOSE_PROBE\020\003\022\026\n\022LINK_PURPOSE_CA" +
-      "LLS\020\004*q\n\013MemberState\022\034\n\030MEMBER_STATE_UNS" +
-      "PECIFIED\020\000\022\023\n\017MEMBER_STATE_UP\020\001\022\030\n\024MEMBE" +
-      "R_STATE_LEAVING\020\002\022\025\n\021MEMBER_STATE_DOWN\020\003" +
-      "*y\n\014KeyOperation\022\035\n\031KEY_OPERATION_UNSPEC" +
-      "IFIED\020\000\022\027\n\023KEY_OPERATION_CLAIM\020\001\022\031\n\025KEY_" +
-      "OPERATION_RELEASE\020\002\022\026\n\022KEY_OPERATION_DON" +
-      "E\020\003*z\n\013CallOutcome\022\034\n\030CALL_OUTCOME_UNSPE" +
-      "CIFIED\020\000\022\031\n\025CALL_OUTCOME_ANSWERED\020\001\022\030\n\024C" +
-      "ALL_OUTCOME_NOT_RUN\020\002\022\030\n\024CALL_OUTCOME_UN" +
-      "KNOWN\020\003*\362\002\n\014NotRunReason\022\036\n\032NOT_RUN_REAS" +
-      "ON_UNSPECIFIED\020\000\022\035\n\031NOT_RUN_REASON_OVERL" +
-      "OADED\020\001\022\032\n\026NOT_RUN_REASON_LEAVING\020\002\022\032\n\026N" +
-      "OT_RUN_REASON_EXPIRED\020\003\022\037\n\033NOT_RUN_REASO" +
-      "N_WRONG_TARGET\020\004\022\036\n\032NOT_RUN_REASON_UNREA" +
-      "CHABLE\020\005\022\034\n\030NOT_RUN_REASON_CANCELLED\020\006\022\037" +
-      "\n\033NOT_RUN_REASON_KEY_CONFLICT\020\007\022\"\n\036NOT_R" +
-      "UN_REASON_DATA_CENTRE_OUT\020\010\022%\n!NOT_RUN_R" +
-      "EASON_REFUSED_BY_BACKEND\020\t\022 \n\034NOT_RUN_RE" +
-      "ASON_KEY_UNSETTLED\020\n*z\n\014BackendPhase\022\035\n\031" +
-      "BACKEND_PHASE_UNSPECIFIED\020\000\022\027\n\023BACKEND_P" +
-      "HASE_READY\020\001\022\032\n\026BACKEND_PHASE_DRAINING\020\002" +
-      "\022\026\n\022BACKEND_PHASE_GONE\020\003B\027\n\023org.oriolewi" +
-      "nd.wireP\001b\006proto3"
+      "\027\n\017latency_buckets\030\010 \003(\r\022\022\n\nunder_load\030\t" +
+      " \001(\010\"m\n\rTrialProgress\022\017\n\007service\030\001 \001(\t\022\026" +
+      "\n\016target_version\030\002 \001(\t\022\020\n\010order_id\030\003 \001(\004" +
+      "\022\022\n\nage_millis\030\004 \001(\004\022\r\n\005fault\030\005 \001(\t\";\n\016E" +
+      "videnceReport\022)\n\006counts\030\001 \003(\0132\031.oriolewi" +
+      "nd.EvidenceCount\"%\n\006Header\022\014\n\004name\030\001 \001(\t" +
+      "\022\r\n\005value\030\002 \001(\t\"\223\003\n\013CallRequest\022\016\n\006strea" +
+      "m\030\001 \001(\004\022\017\n\007service\030\002 \001(\t\022\027\n\017service_vers" +
+      "ion\030\003 \001(\t\022\r\n\005route\030\004 \001(\t\022\016\n\006method\030\005 \001(\t" +
+      "\022\014\n\004path\030\006 \001(\t\022#\n\007headers\030\007 \003(\0132\022.oriole" +
+      "wind.Header\022\014\n\004body\030\010 \001(\014\022\026\n\016timeout_mil" +
+      "lis\030\t \001(\r\022\014\n\004hops\030\n \001(\r\022\022\n\nidempotent\030\013 " +
+      "\001(\010\022\027\n\017idempotency_key\030\014 \001(\t\022\017\n\007call_id\030" +
+      "\r \001(\t\022/\n\rkey_operation\030\016 \001(\0162\030.oriolewin" +
+      "d.KeyOperation\022\027\n\017target_instance\030\017 \001(\t\022" +
+      "\022\n\naim_millis\030\020 \001(\r\022\026\n\016caller_service\030\021 " +
+      "\001(\t\022\020\n\010priority\030\022 \001(\r\"\274\002\n\nCallAnswer\022\016\n\006" +
+      "stream\030\001 \001(\004\022(\n\007outcome\030\002 \001(\0162\027.oriolewi" +
+      "nd.CallOutcome\0220\n\016not_run_reason\030\003 \001(\0162\030" +
+      ".oriolewind.NotRunReason\022\016\n\006status\030\004 \001(\r" +
+      "\022#\n\007headers\030\005 \003(\0132\022.oriolewind.Header\022\014\n" +
+      "\004body\030\006 \001(\014\022\026\n\016service_micros\030\007 \001(\004\022\014\n\004c" +
+      "old\030\010 \001(\010\022\r\n\005limit\030\t \001(\r\022\021\n\tin_flight\030\n " +
+      "\001(\r\022\032\n\022retry_after_millis\030\013 \001(\r\022\033\n\023mean_" +
+      "service_micros\030\014 \001(\004\"\034\n\nCallCancel\022\016\n\006st" +
+      "ream\030\001 \001(\004\"!\n\nCallGoAway\022\023\n\013last_stream\030" +
+      "\001 \001(\004\"\247\001\n\014BackendEntry\022\023\n\013instance_id\030\001 " +
+      "\001(\t\022\023\n\013born_millis\030\002 \001(\004\022\017\n\007service\030\003 \001(" +
+      "\t\022\017\n\007version\030\004 \001(\t\022\'\n\005phase\030\005 \001(\0162\030.orio" +
+      "lewind.BackendPhase\022\r\n\005slots\030\006 \001(\r\022\023\n\013co" +
+      "ld_millis\030\007 \001(\r\"\200\005\n\nNodeStatus\022\014\n\004node\030\001" +
+      " \001(\t\022\023\n\013incarnation\030\002 \001(\004\022\020\n\010sequence\030\003 " +
+      "\001(\004\022\023\n\013data_centre\030\004 \001(\t\022\024\n\014peer_address" +
+      "\030\005 \001(\t\022)\n\007backend\030\006 \001(\0132\030.oriolewind.Bac" +
+      "kendEntry\022\r\n\005limit\030\007 \001(\r\022\021\n\tin_flight\030\010 " +
+      "\001(\r\022\033\n\023mean_service_micros\030\t \001(\004\022\030\n\020fail" +
+      "ure_permille\030\n \001(\r\022\017\n\007leaving\030\013 \001(\010\022I\n\022d" +
+      "ocument_revisions\030\014 \003(\0132-.oriolewind.Nod" +
+      "eStatus.DocumentRevisionsEntry\022/\n\014trial_" +
+      "counts\030\r \003(\0132\031.oriolewind.EvidenceCount\022" +
+      "\025\n\rfollows_store\030\016 \001(\010\022E\n\020document_diges" +
+      "ts\030\017 \003(\0132+.oriolewind.NodeStatus.Documen" +
+      "tDigestsEntry\0221\n\016trial_progress\030\020 \003(\0132\031." +
+      "oriolewind.TrialProgress\0328\n\026DocumentRevi" +
+      "sionsEntry\022\013\n\003key\030\001 \001(\t\022\r\n\005value\030\002 \001(\004:\002" +
+      "8\001\0326\n\024DocumentDigestsEntry\022\013\n\003key\030\001 \001(\t\022" +
+      "\r\n\005value\030\002 \001(\004:\0028\001\"\035\n\014DocumentPull\022\r\n\005ki" +
+      "nds\030\001 \003(\t\";\n\010Document\022\014\n\004name\030\001 \001(\t\022\020\n\010r" +
+      "evision\030\002 \001(\004\022\017\n\007content\030\003 \001(\014\"\\\n\013Docume" +
+      "ntSet\022\014\n\004kind\030\001 \001(\t\022\026\n\016as_of_revision\030\002 " +
+      "\001(\004\022\'\n\tdocuments\030\003 \003(\0132\024.oriolewind.Docu" +
+      "ment*\214\001\n\013LinkPurpose\022\034\n\030LINK_PURPOSE_UNS" +
+      "PECIFIED\020\000\022\026\n\022LINK_PURPOSE_CHILD\020\001\022\027\n\023LI" +
+      "NK_PURPOSE_BRIDGE\020\002\022\026\n\022LINK_PURPOSE_PROB" +
+      "E\020\003\022\026\n\022LINK_PURPOSE_CALLS\020\004*q\n\013MemberSta" +
+      "te\022\034\n\030MEMBER_STATE_UNSPECIFIED\020\000\022\023\n\017MEMB" +
+      "ER_STATE_UP\020\001\022\030\n\024MEMBER_STATE_LEAVING\020\002\022" +
+      "\025\n\021MEMBER_STATE_DOWN\020\003*y\n\014KeyOperation\022\035" +
+      "\n\031KEY_OPERATION_UNSPECIFIED\020\000\022\027\n\023KEY_OPE" +
+      "RATION_CLAIM\020\001\022\031\n\025KEY_OPERATION_RELEASE\020" +
+      "\002\022\026\n\022KEY_OPERATION_DONE\020\003*z\n\013CallOutcome" +
+      "\022\034\n\030CALL_OUTCOME_UNSPECIFIED\020\000\022\031\n\025CALL_O" +
+      "UTCOME_ANSWERED\020\001\022\030\n\024CALL_OUTCOME_NOT_RU" +
+      "N\020\002\022\030\n\024CALL_OUTCOME_UNKNOWN\020\003*\362\002\n\014NotRun" +
+      "Reason\022\036\n\032NOT_RUN_REASON_UNSPECIFIED\020\000\022\035" +
+      "\n\031NOT_RUN_REASON_OVERLOADED\020\001\022\032\n\026NOT_RUN" +
+      "_REASON_LEAVING\020\002\022\032\n\026NOT_RUN_REASON_EXPI" +
+      "RED\020\003\022\037\n\033NOT_RUN_REASON_WRONG_TARGET\020\004\022\036" +
+      "\n\032NOT_RUN_REASON_UNREACHABLE\020\005\022\034\n\030NOT_RU" +
+      "N_REASON_CANCELLED\020\006\022\037\n\033NOT_RUN_REASON_K" +
+      "EY_CONFLICT\020\007\022\"\n\036NOT_RUN_REASON_DATA_CEN" +
+      "TRE_OUT\020\010\022%\n!NOT_RUN_REASON_REFUSED_BY_B" +
+      "ACKEND\020\t\022 \n\034NOT_RUN_REASON_KEY_UNSETTLED" +
+      "\020\n*z\n\014BackendPhase\022\035\n\031BACKEND_PHASE_UNSP" +
+      "ECIFIED\020\000\022\027\n\023BACKEND_PHASE_READY\020\001\022\032\n\026BA" +
+      "CKEND_PHASE_DRAINING\020\002\022\026\n\022BACKEND_PHASE_" +
+      "GONE\020\003B\027\n\023org.oriolewind.wireP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -343,55 +352,61 @@
     internal_static_oriolewind_EvidenceCount_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_oriolewind_EvidenceCount_descriptor,
-        new java.lang.String[] { "Service", "ServiceVersion", "Route", "Calls", "Failures", "ColdCalls", "Refusals", "LatencyBuckets", });
-    internal_static_oriolewind_EvidenceReport_descriptor =
+        new java.lang.String[] { "Service", "ServiceVersion", "Route", "Calls", "Failures", "ColdCalls", "Refusals", "LatencyBuckets", "UnderLoad", });
+    internal_static_oriolewind_TrialProgress_descriptor =
       getDescriptor().getMessageType(10);
+    internal_static_oriolewind_TrialProgress_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_oriolewind_TrialProgress_descriptor,
+        new java.lang.String[] { "Service", "TargetVersion", "OrderId", "AgeMillis", "Fault", });
+    internal_static_oriolewind_EvidenceReport_descriptor =
+      getDescriptor().getMessageType(11);
     internal_static_oriolewind_EvidenceReport_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_oriolewind_EvidenceReport_descriptor,
         new java.lang.String[] { "Counts", });
     internal_static_oriolewind_Header_descriptor =
-      getDescriptor().getMessageType(11);
+      getDescriptor().getMessageType(12);
     internal_static_oriolewind_Header_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_oriolewind_Header_descriptor,
         new java.lang.String[] { "Name", "Value", });
     internal_static_oriolewind_CallRequest_descriptor =
-      getDescriptor().getMessageType(12);
+      getDescriptor().getMessageType(13);
     internal_static_oriolewind_CallRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_oriolewind_CallRequest_descriptor,
         new java.lang.String[] { "Stream", "Service", "ServiceVersion", "Route", "Method", "Path", "Headers", "Body", "TimeoutMillis", "Hops", "Idempotent", "IdempotencyKey", "CallId", "KeyOperation", "TargetInstance", "AimMillis", "CallerService", "Priority", });
     internal_static_oriolewind_CallAnswer_descriptor =
-      getDescriptor().getMessageType(13);
+      getDescriptor().getMessageType(14);
     internal_static_oriolewind_CallAnswer_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_oriolewind_CallAnswer_descriptor,
         new java.lang.String[] { "Stream", "Outcome", "NotRunReason", "Status", "Headers", "Body", "ServiceMicros", "Cold", "Limit", "InFlight", "RetryAfterMillis", "MeanServiceMicros", });
     internal_static_oriolewind_CallCancel_descriptor =
-      getDescriptor().getMessageType(14);
+      getDescriptor().getMessageType(15);
     internal_static_oriolewind_CallCancel_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_oriolewind_CallCancel_descriptor,
         new java.lang.String[] { "Stream", });
     internal_static_oriolewind_CallGoAway_descriptor =
-      getDescriptor().getMessageType(15);
+      getDescriptor().getMessageType(16);
     internal_static_oriolewind_CallGoAway_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_oriolewind_CallGoAway_descriptor,
         new java.lang.String[] { "LastStream", });
     internal_static_oriolewind_BackendEntry_descriptor =
-      getDescriptor().getMessageType(16);
+      getDescriptor().getMessageType(17);
     internal_static_oriolewind_BackendEntry_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_oriolewind_BackendEntry_descriptor,
         new java.lang.String[] { "InstanceId", "BornMillis", "Service", "Version", "Phase", "Slots", "ColdMillis", });
     internal_static_oriolewind_NodeStatus_descriptor =
-      getDescriptor().getMessageType(17);
+      getDescriptor().getMessageType(18);
     internal_static_oriolewind_NodeStatus_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_oriolewind_NodeStatus_descriptor,
-        new java.lang.String[] { "Node", "Incarnation", "Sequence", "DataCentre", "PeerAddress", "Backend", "Limit", "InFlight", "MeanServiceMicros", "FailurePermille", "Leaving", "DocumentRevisions", "TrialCounts", "FollowsStore", "DocumentDigests", });
+        new java.lang.String[] { "Node", "Incarnation", "Sequence", "DataCentre", "PeerAddress", "Backend", "Limit", "InFlight", "MeanServiceMicros", "FailurePermille", "Leaving", "DocumentRevisions", "TrialCounts", "FollowsStore", "DocumentDigests", "TrialProgress", });
     internal_static_oriolewind_NodeStatus_DocumentRevisionsEntry_descriptor =
       internal_static_oriolewind_NodeStatus_descriptor.getNestedType(0);
     internal_static_oriolewind_NodeStatus_DocumentRevisionsEntry_fieldAccessorTable = new
@@ -405,19 +420,19 @@
         internal_static_oriolewind_NodeStatus_DocumentDigestsEntry_descriptor,
         new java.lang.String[] { "Key", "Value", });
     internal_static_oriolewind_DocumentPull_descriptor =
-      getDescriptor().getMessageType(18);
+      getDescriptor().getMessageType(19);
     internal_static_oriolewind_DocumentPull_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_oriolewind_DocumentPull_descriptor,
         new java.lang.String[] { "Kinds", });
     internal_static_oriolewind_Document_descriptor =
-      getDescriptor().getMessageType(19);
+      getDescriptor().getMessageType(20);
     internal_static_oriolewind_Document_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_oriolewind_Document_descriptor,
         new java.lang.String[] { "Name", "Revision", "Content", });
     internal_static_oriolewind_DocumentSet_descriptor =
-      getDescriptor().getMessageType(20);
+      getDescriptor().getMessageType(21);
     internal_static_oriolewind_DocumentSet_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_oriolewind_DocumentSet_descriptor,
