Count calls that outlive their deadline against their version

Cause: a call whose client left at its deadline, or whose own deadline passed, was counted for neither version. The slowest calls are just those, so the new version's evidence held the quick ones only: 71 calls, 6 failed, none slow, at the take-over at 20.7 s.

Change: a sending that nobody waits for any more counts with the time that it took so far, as failed if its deadline has passed; one that was given up within the route's aim says nothing.

Evidence: callThatOutlivesItsDeadlineCountsAgainstItsVersion fails without the change (no counts), for a client that leaves and for a deadline.

--- a/oriolewind-core/src/main/java/org/oriolewind/dispatch/RoutedRequest.java
+++ b/oriolewind-core/src/main/java/org/oriolewind/dispatch/RoutedRequest.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
 import org.oriolewind.placement.FleetMember;
@@ -65,6 +66,7 @@
     private Optional<CallAnswer> mServerAnswer = Optional.empty();
     private NotRunReason mLatestRefusal = NotRunReason.NOT_RUN_REASON_UNREACHABLE;
     private long mRetryAfterMillis = NO_BACKEND_RETRY_MILLIS;
+    private long mSentMillis;
     private boolean mMayHaveRun;
     private int mHandedOver;
     private int mRefusals;
@@ -123,7 +125,8 @@
         mTarget = target;
         String node = member.status().getNode();
         mTried.add(node);
-        member.onSent(mContext.clock().monotonicMillis());
+        mSentMillis = mContext.clock().monotonicMillis();
+        member.onSent(mSentMillis);
         CallRequest call = callTo(member, left);
         Consumer<CallAnswer> onAnswer = answer -> onAnswer(member, answer);
         mSending = Optional.empty();
@@ -229,15 +232,29 @@
     }
 
     private void count(FleetMember member, boolean failed, CallAnswer answer) {
+        count(member, new CallEnd(failed, answer.getCold(), answer.getServiceMicros()));
+    }
+
+    /**
+     * Counts a sending that nobody waits for any more. Left out, the slowest calls of a version
+     * would count for nothing. One that was given up early says nothing about the version.
+     */
+    private void countUnanswered() {
+        long elapsedMillis = mContext.clock().monotonicMillis() - mSentMillis;
+        if (mSending.isEmpty() || mTarget.isEmpty() || elapsedMillis < mRoute.aimMillis()) {
+            return;
+        }
+        boolean cold = mTarget.get().status().getBackend().getColdMillis() > 0;
+        boolean late = timeLeftMillis() <= 0;
+        count(
+                mTarget.get(),
+                new CallEnd(late, cold, TimeUnit.MILLISECONDS.toMicros(elapsedMillis)));
+    }
+
+    private void count(FleetMember member, CallEnd end) {
         BackendEntry backend = member.status().getBackend();
-        mContext.trials()
-                .count(
-                        mService,
-                        backend.getVersion(),
-                        mRoute.name(),
-                        mShare,
-                        new CallEnd(failed, answer.getCold(), answer.getServiceMicros()));
-        if (failed) {
+        mContext.trials().count(mService, backend.getVersion(), mRoute.name(), mShare, end);
+        if (end.failed()) {
             mShare = mShare.afterFailure();
         }
     }
@@ -342,6 +359,7 @@
 
     private void onTimeout() {
         boolean open = mSending.isPresent();
+        countUnanswered();
         mSending.ifPresent(Cancellable::cancel);
         mMayHaveRun |= open;
         endWithout();
@@ -399,6 +417,7 @@
         if (mEnded) {
             return;
         }
+        countUnanswered();
         finish("cancelled", "the client is gone");
         mSending.ifPresent(Cancellable::cancel);
     }
--- a/oriolewind-core/src/test/java/org/oriolewind/dispatch/RoutedRequestTest.java
+++ b/oriolewind-core/src/test/java/org/oriolewind/dispatch/RoutedRequestTest.java
@@ -7,6 +7,8 @@
 import com.google.protobuf.ByteString;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Random;
 import java.util.function.Consumer;
@@ -24,6 +26,7 @@
 import org.oriolewind.policy.FakeDecoder;
 import org.oriolewind.policy.OperatorView;
 import org.oriolewind.policy.RequestKind;
+import org.oriolewind.policy.TrialOrder;
 import org.oriolewind.request.CallAnswers;
 import org.oriolewind.request.Cancellable;
 import org.oriolewind.time.FakeClock;
@@ -54,6 +57,13 @@
                     kind -> {});
     private final List<Sending> mSendings = new ArrayList<>();
     private final List<ClientReply> mReplies = new ArrayList<>();
+    private final TrialBook mTrials =
+            new TrialBook(
+                    mClock,
+                    new Random(1),
+                    mFleet,
+                    new ExposureBound(0.1, 50),
+                    (service, version, belief, inputs) -> {});
     private int mCancelled;
     private RequestRouter mRouter;
 
@@ -95,12 +105,7 @@
                                 new Placement("dc", mClock, new Random(1), mFleet),
                                 new SplitChooser(),
                                 new RepeatBudget(mClock, 0.2, 60, 10_000, () -> 1),
-                                new TrialBook(
-                                        mClock,
-                                        new Random(1),
-                                        mFleet,
-                                        new ExposureBound(0.1, 50),
-                                        (service, version, belief, inputs) -> {}),
+                                mTrials,
                                 (request, done) -> send("self", request, done),
                                 this::send,
                                 new NoLog()));
@@ -350,4 +355,34 @@
         assertEquals(1, mSendings.size());
         assertTrue(mReplies.isEmpty());
     }
+
+    private void orderTrial() {
+        know();
+        mTrials.onOrders(Map.of("s", new TrialOrder("s", "v2", 16_000, 1, 1, Optional.empty())));
+    }
+
+    /**
+     * Calls that outlived their deadline once counted for nothing, so a slow version looked good.
+     */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void callThatOutlivesItsDeadlineCountsAgainstItsVersion(boolean clientLeaves) {
+        orderTrial();
+        Cancellable request = dispatch(UNSAFE);
+        mClock.advanceMillis(800);
+        if (clientLeaves) {
+            request.cancel();
+        }
+        mTimers.advance(100);
+        assertEquals(1, mTrials.counts().get(0).getFailures());
+    }
+
+    @Test
+    void callThatItsClientGaveUpEarlySaysNothingOfItsVersion() {
+        orderTrial();
+        Cancellable request = dispatch(UNSAFE);
+        mClock.advanceMillis(100);
+        request.cancel();
+        assertEquals(List.of(), mTrials.counts());
+    }
 }
