Metrics: heap, collection, delay of the event loop, bytes to other nodes by kind, lag of documents

The hypotheses about CONFIG on the grown site (collection, work on the loop, the way of documents) could not be told apart by logs or metrics.

--- a/oriolewind-core/src/main/java/org/oriolewind/spread/DocumentCatchUp.java
+++ b/oriolewind-core/src/main/java/org/oriolewind/spread/DocumentCatchUp.java
@@ -25,7 +25,20 @@
 
     private final NodeClock mClock;
     private final String mDataCentre;
+    private final LagListener mLagListener;
     private final Map<DocumentKind, Long> mDueMillis = new EnumMap<>(DocumentKind.class);
+    private final Map<DocumentKind, Long> mBehindSinceMillis = new EnumMap<>(DocumentKind.class);
+
+    /** Told how long this node was behind others. */
+    public interface LagListener {
+        /**
+         * This node knows as much as all others again.
+         *
+         * @param kind the kind of documents
+         * @param millis time since it heard that another node knows more
+         */
+        void onCaughtUp(DocumentKind kind, long millis);
+    }
 
     /**
      * A kind to ask for.
@@ -40,10 +53,12 @@
      *
      * @param clock the clock
      * @param dataCentre the own data centre
+     * @param lagListener told how long this node was behind
      */
-    public DocumentCatchUp(NodeClock clock, String dataCentre) {
+    public DocumentCatchUp(NodeClock clock, String dataCentre, LagListener lagListener) {
         mClock = clock;
         mDataCentre = dataCentre;
+        mLagListener = lagListener;
     }
 
     /**
@@ -60,7 +75,12 @@
             Optional<NodeStatus> ahead = mostAhead(view, kind, heard);
             if (ahead.isEmpty()) {
                 mDueMillis.remove(kind);
-            } else if (now >= mDueMillis.computeIfAbsent(kind, k -> now + BEHIND_MILLIS)) {
+                Optional.ofNullable(mBehindSinceMillis.remove(kind))
+                        .ifPresent(since -> mLagListener.onCaughtUp(kind, now - since));
+                continue;
+            }
+            mBehindSinceMillis.putIfAbsent(kind, now);
+            if (now >= mDueMillis.computeIfAbsent(kind, k -> now + BEHIND_MILLIS)) {
                 mDueMillis.put(kind, now + ASK_AGAIN_MILLIS);
                 questions.add(new Question(ahead.get().getPeerAddress(), kind));
             }
--- a/oriolewind-core/src/test/java/org/oriolewind/spread/DocumentCatchUpTest.java
+++ b/oriolewind-core/src/test/java/org/oriolewind/spread/DocumentCatchUpTest.java
@@ -2,7 +2,9 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
+import java.util.EnumMap;
 import java.util.List;
+import java.util.Map;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.oriolewind.placement.Fleet;
@@ -14,9 +16,10 @@
 
 class DocumentCatchUpTest {
     private final FakeClock mClock = new FakeClock();
+    private final Map<DocumentKind, Long> mLags = new EnumMap<>(DocumentKind.class);
     private final Fleet mFleet = new Fleet(mClock);
     private final OperatorView mView = new OperatorView(new FakeDecoder(List.of()), kind -> {});
-    private final DocumentCatchUp mCatchUp = new DocumentCatchUp(mClock, "dc1");
+    private final DocumentCatchUp mCatchUp = new DocumentCatchUp(mClock, "dc1", mLags::put);
     private int mSequence;
 
     @BeforeEach
@@ -82,4 +85,14 @@
         mClock.advanceMillis(1000);
         assertEquals(List.of(), asked());
     }
+
+    @Test
+    void tellsHowLongOthersKnewMore() {
+        hear("near", "dc1", 8, 77);
+        asked();
+        mClock.advanceMillis(700);
+        mView.replace(DocumentKind.CONFIG, 8, List.of(FakeDecoder.document("main", 8, "2")));
+        asked();
+        assertEquals(Map.of(DocumentKind.CONFIG, 700L), mLags);
+    }
 }
--- /dev/null
+++ b/oriolewind-node/src/main/java/org/oriolewind/node/metrics/MetricsText.java
@@ -0,0 +1,75 @@
+package org.oriolewind.node.metrics;
+
+import com.codahale.metrics.MetricRegistry;
+import com.codahale.metrics.Snapshot;
+import java.util.Locale;
+
+/**
+ * Writes metrics in the usual text exposition format. Names in the registry are those of the
+ * format, labels included, as {@code peer_sent_bytes_total{kind="calls"}}. Stateless.
+ */
+public final class MetricsText {
+    private static final String PREFIX = "oriolewind_";
+    private static final double[] QUANTILES = {0.5, 0.9, 0.99};
+
+    private MetricsText() {}
+
+    /**
+     * Writes all gauges, counters and histograms of a registry.
+     *
+     * @param registry the registry
+     * @return the text
+     */
+    public static String write(MetricRegistry registry) {
+        Lines lines = new Lines();
+        registry.getGauges()
+                .forEach((name, gauge) -> lines.add(name, "gauge", gauge.getValue().toString()));
+        registry.getCounters()
+                .forEach(
+                        (name, counter) ->
+                                lines.add(name, "counter", Long.toString(counter.getCount())));
+        registry.getHistograms()
+                .forEach(
+                        (name, histogram) ->
+                                lines.addSummary(
+                                        name, histogram.getSnapshot(), histogram.getCount()));
+        return lines.mText.toString();
+    }
+
+    private static final class Lines {
+        final StringBuilder mText = new StringBuilder();
+        private String mLatest = "";
+
+        void add(String name, String type, String value) {
+            begin(name, type);
+            mText.append(PREFIX).append(name).append(' ').append(value).append('\n');
+        }
+
+        void addSummary(String name, Snapshot snapshot, long count) {
+            begin(name, "summary");
+            for (double quantile : QUANTILES) {
+                mText.append(
+                        String.format(
+                                Locale.ROOT,
+                                "%s%s{quantile=\"%s\"} %.0f%n",
+                                PREFIX,
+                                name,
+                                quantile,
+                                snapshot.getValue(quantile)));
+            }
+            mText.append(PREFIX).append(name).append("_max ").append(snapshot.getMax());
+            mText.append('\n').append(PREFIX).append(name).append("_count ").append(count);
+            mText.append('\n');
+        }
+
+        private void begin(String name, String type) {
+            int labels = name.indexOf('{');
+            String family = labels < 0 ? name : name.substring(0, labels);
+            if (!family.equals(mLatest)) {
+                mLatest = family;
+                mText.append("# TYPE ").append(PREFIX).append(family).append(' ');
+                mText.append(type).append('\n');
+            }
+        }
+    }
+}
--- /dev/null
+++ b/oriolewind-node/src/main/java/org/oriolewind/node/metrics/package-info.java
@@ -0,0 +1,2 @@
+/** What a node measures of itself, and how it is shown. */
+package org.oriolewind.node.metrics;
--- a/oriolewind-node/src/main/java/org/oriolewind/node/peer/PeerConnection.java
+++ b/oriolewind-node/src/main/java/org/oriolewind/node/peer/PeerConnection.java
@@ -10,11 +10,13 @@
 public final class PeerConnection {
     private final long mId;
     private final Channel mChannel;
+    private final PeerMeters mMeters;
     private volatile LinkPurpose mPurpose = LinkPurpose.LINK_PURPOSE_UNSPECIFIED;
 
-    PeerConnection(long id, Channel channel) {
+    PeerConnection(long id, Channel channel, PeerMeters meters) {
         mId = id;
         mChannel = channel;
+        mMeters = meters;
     }
 
     /**
@@ -55,6 +57,7 @@
      * @param frame the frame
      */
     public void send(Frame frame) {
+        mMeters.onSent(frame);
         mChannel.eventLoop().execute(() -> mChannel.writeAndFlush(frame, mChannel.voidPromise()));
     }
 
--- a/oriolewind-node/src/main/java/org/oriolewind/node/peer/PeerHandler.java
+++ b/oriolewind-node/src/main/java/org/oriolewind/node/peer/PeerHandler.java
@@ -33,7 +33,7 @@
 
     @Override
     public void handlerAdded(ChannelHandlerContext ctx) {
-        mConnection = new PeerConnection(mId, ctx.channel());
+        mConnection = new PeerConnection(mId, ctx.channel(), mMeters);
     }
 
     @Override
--- a/oriolewind-node/src/main/java/org/oriolewind/node/peer/PeerMeters.java
+++ b/oriolewind-node/src/main/java/org/oriolewind/node/peer/PeerMeters.java
@@ -3,6 +3,7 @@
 import com.codahale.metrics.Counter;
 import com.codahale.metrics.Meter;
 import com.codahale.metrics.MetricRegistry;
+import org.oriolewind.wire.Frame;
 
 /** Metrics of the connections between nodes. Safe for use by several threads. */
 public final class PeerMeters {
@@ -10,6 +11,10 @@
     private final Counter mStrangers;
     private final Counter mDamaged;
     private final Meter mReceivedBytes;
+    private final Counter mSentCallBytes;
+    private final Counter mSentStatusBytes;
+    private final Counter mSentDocumentBytes;
+    private final Counter mSentOtherBytes;
 
     /**
      * Creates the metrics.
@@ -21,6 +26,10 @@
         mStrangers = registry.counter("peer.connections.strangers");
         mDamaged = registry.counter("peer.frames.damaged");
         mReceivedBytes = registry.meter("peer.received.bytes");
+        mSentCallBytes = registry.counter("peer_sent_bytes_total{kind=\"calls\"}");
+        mSentStatusBytes = registry.counter("peer_sent_bytes_total{kind=\"statuses\"}");
+        mSentDocumentBytes = registry.counter("peer_sent_bytes_total{kind=\"documents\"}");
+        mSentOtherBytes = registry.counter("peer_sent_bytes_total{kind=\"other\"}");
     }
 
     void onOpened() {
@@ -39,6 +48,17 @@
         mDamaged.inc();
     }
 
+    void onSent(Frame frame) {
+        Counter counter =
+                switch (frame.getBodyCase()) {
+                    case CALL_REQUEST, CALL_ANSWER -> mSentCallBytes;
+                    case NODE_STATUS -> mSentStatusBytes;
+                    case DOCUMENT_SET -> mSentDocumentBytes;
+                    default -> mSentOtherBytes;
+                };
+        counter.inc(frame.getSerializedSize());
+    }
+
     void onReceived(int bytes) {
         mReceivedBytes.mark(bytes);
     }
--- /dev/null
+++ b/oriolewind-node/src/test/java/org/oriolewind/node/metrics/MetricsTextTest.java
@@ -0,0 +1,34 @@
+package org.oriolewind.node.metrics;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.codahale.metrics.MetricRegistry;
+import org.junit.jupiter.api.Test;
+
+class MetricsTextTest {
+    @Test
+    void writesOneTypeLineForAllLabelsOfAName() {
+        MetricRegistry registry = new MetricRegistry();
+        registry.counter("sent_bytes_total{kind=\"a\"}").inc(3);
+        registry.counter("sent_bytes_total{kind=\"b\"}").inc(4);
+        assertEquals(
+                """
+                # TYPE oriolewind_sent_bytes_total counter
+                oriolewind_sent_bytes_total{kind="a"} 3
+                oriolewind_sent_bytes_total{kind="b"} 4
+                """,
+                MetricsText.write(registry));
+    }
+
+    @Test
+    void showsTheDelayOfTheEventLoopAndTheHeap() {
+        MetricRegistry registry = new MetricRegistry();
+        ProcessMeters meters = new ProcessMeters(registry);
+        meters.onLoopDelay(7);
+        String text = MetricsText.write(registry);
+        assertTrue(text.contains("oriolewind_event_loop_delay_milliseconds_max 7\n"), text);
+        assertTrue(text.contains("# TYPE oriolewind_heap_used_bytes gauge\n"), text);
+        assertTrue(text.contains("oriolewind_garbage_collection_milliseconds_total "), text);
+    }
+}
