Write the log lines of the shutdown

What on-call engineers saw: no line of any node after SIGTERM, in all logs kept so far ('node N stops' is in none).

Cause: the logging library closes its writer in a shutdown hook of its own, beside ours, as soon as the signal comes.

--- a/oriolewind-node/src/main/java/org/oriolewind/node/Oriolewindd.java
+++ b/oriolewind-node/src/main/java/org/oriolewind/node/Oriolewindd.java
@@ -5,6 +5,7 @@
 import org.apache.commons.cli.Option;
 import org.apache.commons.cli.Options;
 import org.apache.commons.cli.ParseException;
+import org.oriolewind.node.log.ShutdownLog;
 import org.tinylog.Logger;
 
 /** The daemon {@code oriolewindd}: one node beside one backend server. */
@@ -21,6 +22,7 @@
      * @param args the flags
      */
     public static void main(String[] args) {
+        ShutdownLog shutdownLog = ShutdownLog.install();
         Options options = options();
         try {
             CommandLine flags = new DefaultParser().parse(options, args);
@@ -35,7 +37,7 @@
             if (!flags.getArgList().isEmpty()) {
                 throw new ParseException("unexpected: " + String.join(" ", flags.getArgList()));
             }
-            run(NodeSettings.read(flags, System.getenv()));
+            run(NodeSettings.read(flags, System.getenv()), shutdownLog);
         } catch (ParseException e) {
             System.err.println("oriolewindd: " + e.getMessage());
             System.exit(EXIT_BAD_SETTINGS);
@@ -49,10 +51,10 @@
         }
     }
 
-    private static void run(NodeSettings settings) throws Exception {
+    private static void run(NodeSettings settings, ShutdownLog shutdownLog) throws Exception {
         Node node = new Node(settings);
         node.start();
-        Runtime.getRuntime().addShutdownHook(new Thread(node::close, "shutdown"));
+        shutdownLog.setStop(node::close);
     }
 
     private static Options options() {
