Pass documents on from the leader only, compressed, to those that lack them

Cause: the bytes of a change were never held against the links. A leader sent it whole to the 17 other nodes of its data centre: 2.9 MB, 2.3 s on a link of 10 Mbit/s, for a change that has to be in force in 2.5 s. Nodes that were behind all asked the same node, again each 0.6 s.

The decisions moved from the adapter into core.

Ruled out: collection.

--- a/oriolewind-core/src/main/java/org/oriolewind/spread/DocumentCatchUp.java
+++ b/oriolewind-core/src/main/java/org/oriolewind/spread/DocumentCatchUp.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.random.RandomGenerator;
 import org.oriolewind.placement.FleetMember;
 import org.oriolewind.policy.DocumentKind;
 import org.oriolewind.policy.OperatorView;
@@ -20,22 +21,38 @@
     /** Time in which a change commonly comes by itself. */
     private static final long BEHIND_MILLIS = 300;
 
-    /** Time for an answer before another node may be asked. */
+    /** Time for an answer before another node is asked; doubles, as links may be full. */
     private static final long ASK_AGAIN_MILLIS = 600;
 
+    private static final long MAX_ASK_AGAIN_MILLIS = 2400;
+
+    /** What is known of a change that others have and this node has not. */
+    private static final class Lag {
+        final long mRevision;
+        final long mSinceMillis;
+        long mDueMillis;
+        long mPauseMillis = ASK_AGAIN_MILLIS;
+
+        Lag(long revision, long now) {
+            mRevision = revision;
+            mSinceMillis = now;
+            mDueMillis = now + BEHIND_MILLIS;
+        }
+    }
+
     private final NodeClock mClock;
+    private final RandomGenerator mRandom;
     private final String mDataCentre;
     private final LagListener mLagListener;
-    private final Map<DocumentKind, Long> mDueMillis = new EnumMap<>(DocumentKind.class);
-    private final Map<DocumentKind, Long> mBehindSinceMillis = new EnumMap<>(DocumentKind.class);
+    private final Map<DocumentKind, Lag> mLags = new EnumMap<>(DocumentKind.class);
 
     /** Told how long this node was behind others. */
     public interface LagListener {
         /**
-         * This node knows as much as all others again.
+         * This node has a change that others knew before.
          *
          * @param kind the kind of documents
-         * @param millis time since it heard that another node knows more
+         * @param millis time since it heard that another node has it
          */
         void onCaughtUp(DocumentKind kind, long millis);
     }
@@ -52,11 +69,14 @@
      * Creates a decision.
      *
      * @param clock the clock
+     * @param random source of choices
      * @param dataCentre the own data centre
      * @param lagListener told how long this node was behind
      */
-    public DocumentCatchUp(NodeClock clock, String dataCentre, LagListener lagListener) {
+    public DocumentCatchUp(
+            NodeClock clock, RandomGenerator random, String dataCentre, LagListener lagListener) {
         mClock = clock;
+        mRandom = random;
         mDataCentre = dataCentre;
         mLagListener = lagListener;
     }
@@ -69,45 +89,61 @@
      * @return the questions
      */
     public List<Question> due(OperatorView view, Collection<FleetMember> heard) {
-        long now = mClock.monotonicMillis();
         List<Question> questions = new ArrayList<>();
         for (DocumentKind kind : DocumentKind.values()) {
-            Optional<NodeStatus> ahead = mostAhead(view, kind, heard);
-            if (ahead.isEmpty()) {
-                mDueMillis.remove(kind);
-                Optional.ofNullable(mBehindSinceMillis.remove(kind))
-                        .ifPresent(since -> mLagListener.onCaughtUp(kind, now - since));
-                continue;
-            }
-            mBehindSinceMillis.putIfAbsent(kind, now);
-            if (now >= mDueMillis.computeIfAbsent(kind, k -> now + BEHIND_MILLIS)) {
-                mDueMillis.put(kind, now + ASK_AGAIN_MILLIS);
-                questions.add(new Question(ahead.get().getPeerAddress(), kind));
+            List<NodeStatus> ahead = mostAhead(view, kind, heard);
+            if (isDue(kind, view, ahead)) {
+                NodeStatus asked = ahead.get(mRandom.nextInt(ahead.size()));
+                questions.add(new Question(asked.getPeerAddress(), kind));
             }
         }
         return questions;
     }
 
-    private Optional<NodeStatus> mostAhead(
-            OperatorView view, DocumentKind kind, Collection<FleetMember> heard) {
-        NodeStatus best = null;
-        for (FleetMember member : heard) {
-            NodeStatus status = member.status();
-            boolean isAhead =
-                    revision(status, kind) > view.revision(kind)
-                            && digest(status, kind) != view.digest(kind);
-            if (isAhead && (best == null || isBetter(status, best, kind))) {
-                best = status;
-            }
+    /** While changes keep coming by themselves, nobody is asked. */
+    private boolean isDue(DocumentKind kind, OperatorView view, List<NodeStatus> ahead) {
+        long now = mClock.monotonicMillis();
+        Lag lag = mLags.get(kind);
+        if (lag != null && (ahead.isEmpty() || view.revision(kind) >= lag.mRevision)) {
+            mLags.remove(kind);
+            mLagListener.onCaughtUp(kind, now - lag.mSinceMillis);
+        }
+        if (ahead.isEmpty()) {
+            return false;
+        }
+        long revision = revision(ahead.get(0), kind);
+        Lag current = mLags.computeIfAbsent(kind, k -> new Lag(revision, now));
+        if (now < current.mDueMillis) {
+            return false;
         }
-        return Optional.ofNullable(best);
+        current.mDueMillis = now + current.mPauseMillis;
+        current.mPauseMillis = Math.min(MAX_ASK_AGAIN_MILLIS, 2 * current.mPauseMillis);
+        return true;
     }
 
-    private boolean isBetter(NodeStatus one, NodeStatus other, DocumentKind kind) {
-        if (digest(one, kind) == digest(other, kind)) {
-            return isNear(one) && !isNear(other);
+    /** Returns the nodes that know most, of the own data centre if there are any. */
+    private List<NodeStatus> mostAhead(
+            OperatorView view, DocumentKind kind, Collection<FleetMember> heard) {
+        List<NodeStatus> ahead =
+                heard.stream()
+                        .map(FleetMember::status)
+                        .filter(status -> isAhead(status, view, kind))
+                        .toList();
+        long most = ahead.stream().mapToLong(s -> revision(s, kind)).max().orElse(0);
+        Optional<NodeStatus> best =
+                ahead.stream().filter(s -> revision(s, kind) == most).findFirst();
+        if (best.isEmpty()) {
+            return List.of();
         }
-        return revision(one, kind) > revision(other, kind);
+        List<NodeStatus> same =
+                ahead.stream().filter(s -> digest(s, kind) == digest(best.get(), kind)).toList();
+        List<NodeStatus> near = same.stream().filter(this::isNear).toList();
+        return near.isEmpty() ? same : near;
+    }
+
+    private static boolean isAhead(NodeStatus status, OperatorView view, DocumentKind kind) {
+        return revision(status, kind) > view.revision(kind)
+                && digest(status, kind) != view.digest(kind);
     }
 
     private boolean isNear(NodeStatus status) {
--- /dev/null
+++ b/oriolewind-core/src/main/java/org/oriolewind/spread/DocumentSpread.java
@@ -0,0 +1,43 @@
+package org.oriolewind.spread;
+
+import java.util.Collection;
+import java.util.List;
+import org.oriolewind.placement.FleetMember;
+import org.oriolewind.policy.DocumentKind;
+import org.oriolewind.policy.OperatorView;
+import org.oriolewind.wire.NodeStatus;
+
+/**
+ * Decides to which nodes documents that were read from the store are passed on: to those of the own
+ * data centre that neither follow the store nor are known to have them. Stateless.
+ */
+public final class DocumentSpread {
+    private DocumentSpread() {}
+
+    /**
+     * Returns the recipients of a kind of documents.
+     *
+     * @param self this node's latest status
+     * @param view what this node knows
+     * @param kind the kind
+     * @param heard the other nodes that were heard of lately
+     * @return their addresses
+     */
+    public static List<String> recipients(
+            NodeStatus self, OperatorView view, DocumentKind kind, Collection<FleetMember> heard) {
+        return heard.stream()
+                .map(FleetMember::status)
+                .filter(status -> !status.getNode().equals(self.getNode()))
+                .filter(status -> status.getDataCentre().equals(self.getDataCentre()))
+                .filter(status -> !status.getFollowsStore())
+                .filter(status -> lacks(status, view, kind))
+                .map(NodeStatus::getPeerAddress)
+                .toList();
+    }
+
+    private static boolean lacks(NodeStatus status, OperatorView view, DocumentKind kind) {
+        long revision = status.getDocumentRevisionsOrDefault(kind.key(), 0);
+        long digest = status.getDocumentDigestsOrDefault(kind.key(), 0);
+        return revision < view.revision(kind) && digest != view.digest(kind);
+    }
+}
--- a/oriolewind-core/src/main/java/org/oriolewind/spread/StoreFollowing.java
+++ b/oriolewind-core/src/main/java/org/oriolewind/spread/StoreFollowing.java
@@ -66,6 +66,16 @@
         return mFollows;
     }
 
+    /**
+     * Returns whether this node leads its data centre, so that others hear of changes from it. A
+     * node that has just started follows the store for a while without leading.
+     *
+     * @return true if no other node leads
+     */
+    public boolean isLeading() {
+        return mFollows && !mLed;
+    }
+
     private static boolean leads(NodeStatus other, NodeStatus self) {
         return other.getFollowsStore()
                 && !other.getLeaving()
--- a/oriolewind-core/src/test/java/org/oriolewind/spread/DocumentCatchUpTest.java
+++ b/oriolewind-core/src/test/java/org/oriolewind/spread/DocumentCatchUpTest.java
@@ -3,8 +3,11 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
 import java.util.EnumMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Random;
+import java.util.Set;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.oriolewind.placement.Fleet;
@@ -19,7 +22,8 @@
     private final Map<DocumentKind, Long> mLags = new EnumMap<>(DocumentKind.class);
     private final Fleet mFleet = new Fleet(mClock);
     private final OperatorView mView = new OperatorView(new FakeDecoder(List.of()), kind -> {});
-    private final DocumentCatchUp mCatchUp = new DocumentCatchUp(mClock, "dc1", mLags::put);
+    private final DocumentCatchUp mCatchUp =
+            new DocumentCatchUp(mClock, new Random(1), "dc1", mLags::put);
     private int mSequence;
 
     @BeforeEach
@@ -95,4 +99,34 @@
         asked();
         assertEquals(Map.of(DocumentKind.CONFIG, 700L), mLags);
     }
+
+    @Test
+    void asksNobodyWhileChangesKeepComingByThemselves() {
+        for (long revision = 6; revision < 20; revision++) {
+            hear("near", "dc1", revision, revision);
+            assertEquals(List.of(), asked());
+            mClock.advanceMillis(200);
+            mView.replace(
+                    DocumentKind.CONFIG,
+                    revision,
+                    List.of(FakeDecoder.document("main", revision, "" + revision)));
+        }
+    }
+
+    /** All nodes of a data centre once asked the same one, whose link was full with the answers. */
+    @Test
+    void nodesThatAreBehindTogetherAskDifferentNodes() {
+        Set<String> asked = new HashSet<>();
+        for (int node = 0; node < 30; node++) {
+            DocumentCatchUp catchUp =
+                    new DocumentCatchUp(mClock, new Random(node), "dc1", mLags::put);
+            hear("near-1", "dc1", 8, 77);
+            hear("near-2", "dc1", 8, 77);
+            hear("near-3", "dc1", 8, 77);
+            catchUp.due(mView, mFleet.heard());
+            mClock.advanceMillis(300);
+            catchUp.due(mView, mFleet.heard()).forEach(q -> asked.add(q.peerAddress()));
+        }
+        assertEquals(Set.of("near-1", "near-2", "near-3"), asked);
+    }
 }
--- /dev/null
+++ b/oriolewind-core/src/test/java/org/oriolewind/spread/DocumentSpreadTest.java
@@ -0,0 +1,78 @@
+package org.oriolewind.spread;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.oriolewind.placement.Fleet;
+import org.oriolewind.policy.DocumentKind;
+import org.oriolewind.policy.FakeDecoder;
+import org.oriolewind.policy.OperatorView;
+import org.oriolewind.time.FakeClock;
+import org.oriolewind.wire.NodeStatus;
+
+class DocumentSpreadTest {
+    private static final DocumentKind KIND = DocumentKind.CONFIG;
+
+    private final FakeClock mClock = new FakeClock();
+    private final Fleet mFleet = new Fleet(mClock);
+    private final OperatorView mView = new OperatorView(new FakeDecoder(List.of()), kind -> {});
+    private final NodeStatus mSelf = status("self", "dc1", 50, true, 8, 88);
+    private int mSequence;
+
+    private NodeStatus status(
+            String node,
+            String dataCentre,
+            long incarnation,
+            boolean follows,
+            long revision,
+            long digest) {
+        return NodeStatus.newBuilder()
+                .setNode(node)
+                .setIncarnation(incarnation)
+                .setSequence(++mSequence)
+                .setDataCentre(dataCentre)
+                .setPeerAddress(node)
+                .setFollowsStore(follows)
+                .putDocumentRevisions(KIND.key(), revision)
+                .putDocumentDigests(KIND.key(), digest)
+                .build();
+    }
+
+    @Test
+    void passesOnToThoseOfTheDataCentreThatLackTheDocuments() {
+        mView.replace(KIND, 8, List.of(FakeDecoder.document("main", 8, "1")));
+        mFleet.onStatus(mSelf);
+        mFleet.onStatus(status("lacks", "dc1", 60, false, 7, 1));
+        mFleet.onStatus(status("follows", "dc1", 60, true, 7, 1));
+        mFleet.onStatus(status("later", "dc1", 60, false, 9, 1));
+        mFleet.onStatus(status("same", "dc1", 60, false, 7, mView.digest(KIND)));
+        mFleet.onStatus(status("far", "dc2", 60, false, 7, 1));
+        assertEquals(
+                List.of("lacks"), DocumentSpread.recipients(mSelf, mView, KIND, mFleet.heard()));
+    }
+
+    /**
+     * Five nodes that joined a data centre once each passed every change on to all of it, beside
+     * its leader, and filled their links for seconds.
+     */
+    @Test
+    void nodeThatHasJustJoinedPassesNothingOnBesideTheLeader() {
+        StoreFollowing following = new StoreFollowing(mClock);
+        mFleet.onStatus(status("leader", "dc1", 40, true, 8, 88));
+        assertTrue(following.update(mSelf, mFleet.heard()));
+        assertFalse(following.isLeading());
+    }
+
+    @Test
+    void nodePassesOnOnceTheLeaderIsGone() {
+        StoreFollowing following = new StoreFollowing(mClock);
+        mFleet.onStatus(status("leader", "dc1", 40, true, 8, 88));
+        following.update(mSelf, mFleet.heard());
+        mClock.advanceMillis(1500);
+        assertTrue(following.update(mSelf, mFleet.heard()));
+        assertTrue(following.isLeading());
+    }
+}
--- a/oriolewind-node/src/main/java/org/oriolewind/node/call/MeshPeers.java
+++ b/oriolewind-node/src/main/java/org/oriolewind/node/call/MeshPeers.java
@@ -69,9 +69,10 @@
         /**
          * A node gives documents.
          *
+         * @param peer the node, or its address
          * @param frame the frame
          */
-        void onDocuments(Frame frame);
+        void onDocuments(String peer, Frame frame);
     }
 
     /** A node that is dialled. */
@@ -146,15 +147,15 @@
             connection.send(
                     mStamp.newFrame().setNodeStatus(NodeStatus.getDefaultInstance()).build());
         } else if (frame.hasDocumentSet()) {
-            mListener.onDocuments(frame);
+            mListener.onDocuments("connection " + connection.id(), frame);
         } else {
             mListener.onPull(frame.getDocumentPull().getKindsList()).forEach(connection::send);
         }
     }
 
-    private void onLinkFrame(Frame frame) {
+    private void onLinkFrame(String address, Frame frame) {
         if (frame.hasDocumentSet()) {
-            mListener.onDocuments(frame);
+            mListener.onDocuments(address, frame);
         }
     }
 
@@ -208,7 +209,13 @@
         if (address.isPresent()) {
             target.mGreeted = false;
             target.mLink =
-                    new PeerCallLink(text, mSelf, mStamp, mClock, MAX_STREAMS, this::onLinkFrame);
+                    new PeerCallLink(
+                            text,
+                            mSelf,
+                            mStamp,
+                            mClock,
+                            MAX_STREAMS,
+                            frame -> onLinkFrame(text, frame));
             PeerCallLink link = target.mLink;
             link.connect(mTransport, address.get());
         }
--- a/oriolewind-wire/src/main/java/org/oriolewind/wire/DocumentSet.java
+++ b/oriolewind-wire/src/main/java/org/oriolewind/wire/DocumentSet.java
@@ -33,7 +33,7 @@
   }
   private DocumentSet() {
     kind_ = "";
-    documents_ = java.util.Collections.emptyList();
+    compressedDocuments_ = com.google.protobuf.ByteString.EMPTY;
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -104,45 +104,34 @@
     return asOfRevision_;
   }
 
-  public static final int DOCUMENTS_FIELD_NUMBER = 3;
-  @SuppressWarnings("serial")
-  private java.util.List<org.oriolewind.wire.Document> documents_;
-  /**
-   * <code>repeated .oriolewind.Document documents = 3;</code>
-   */
-  @java.lang.Override
-  public java.util.List<org.oriolewind.wire.Document> getDocumentsList() {
-    return documents_;
-  }
-  /**
-   * <code>repeated .oriolewind.Document documents = 3;</code>
-   */
-  @java.lang.Override
-  public java.util.List<? extends org.oriolewind.wire.DocumentOrBuilder> 
-      getDocumentsOrBuilderList() {
-    return documents_;
-  }
+  public static final int COMPRESSED_DOCUMENTS_FIELD_NUMBER = 4;
+  private com.google.protobuf.ByteString compressedDocuments_ = com.google.protobuf.ByteString.EMPTY;
   /**
-   * <code>repeated .oriolewind.Document documents = 3;</code>
-   */
-  @java.lang.Override
-  public int getDocumentsCount() {
-    return documents_.size();
-  }
-  /**
-   * <code>repeated .oriolewind.Document documents = 3;</code>
+   * <pre>
+   * A DocumentList, compressed with zlib.
+   * </pre>
+   *
+   * <code>bytes compressed_documents = 4;</code>
+   * @return The compressedDocuments.
    */
   @java.lang.Override
-  public org.oriolewind.wire.Document getDocuments(int index) {
-    return documents_.get(index);
+  public com.google.protobuf.ByteString getCompressedDocuments() {
+    return compressedDocuments_;
   }
+
+  public static final int UNCOMPRESSED_SIZE_FIELD_NUMBER = 5;
+  private int uncompressedSize_ = 0;
   /**
-   * <code>repeated .oriolewind.Document documents = 3;</code>
+   * <pre>
+   * Size of the DocumentList before it was compressed.
+   * </pre>
+   *
+   * <code>uint32 uncompressed_size = 5;</code>
+   * @return The uncompressedSize.
    */
   @java.lang.Override
-  public org.oriolewind.wire.DocumentOrBuilder getDocumentsOrBuilder(
-      int index) {
-    return documents_.get(index);
+  public int getUncompressedSize() {
+    return uncompressedSize_;
   }
 
   private byte memoizedIsInitialized = -1;
@@ -165,8 +154,11 @@
     if (asOfRevision_ != 0L) {
       output.writeUInt64(2, asOfRevision_);
     }
-    for (int i = 0; i < documents_.size(); i++) {
-      output.writeMessage(3, documents_.get(i));
+    if (!compressedDocuments_.isEmpty()) {
+      output.writeBytes(4, compressedDocuments_);
+    }
+    if (uncompressedSize_ != 0) {
+      output.writeUInt32(5, uncompressedSize_);
     }
     getUnknownFields().writeTo(output);
   }
@@ -179,15 +171,14 @@
       size += com.google.protobuf.CodedOutputStream
         .computeUInt64Size(2, asOfRevision_);
     }
-
-        {
-          final int count = documents_.size();
-          for (int i = 0; i < count; i++) {
-            size += com.google.protobuf.CodedOutputStream
-              .computeMessageSizeNoTag(documents_.get(i));
-          }
-          size += 1 * count;
-        }
+    if (!compressedDocuments_.isEmpty()) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBytesSize(4, compressedDocuments_);
+    }
+    if (uncompressedSize_ != 0) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt32Size(5, uncompressedSize_);
+    }
     return size;
   }
   @java.lang.Override
@@ -216,8 +207,10 @@
         .equals(other.getKind())) return false;
     if (getAsOfRevision()
         != other.getAsOfRevision()) return false;
-    if (!getDocumentsList()
-        .equals(other.getDocumentsList())) return false;
+    if (!getCompressedDocuments()
+        .equals(other.getCompressedDocuments())) return false;
+    if (getUncompressedSize()
+        != other.getUncompressedSize()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -234,10 +227,10 @@
     hash = (37 * hash) + AS_OF_REVISION_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getAsOfRevision());
-    if (getDocumentsCount() > 0) {
-      hash = (37 * hash) + DOCUMENTS_FIELD_NUMBER;
-      hash = (53 * hash) + getDocumentsList().hashCode();
-    }
+    hash = (37 * hash) + COMPRESSED_DOCUMENTS_FIELD_NUMBER;
+    hash = (53 * hash) + getCompressedDocuments().hashCode();
+    hash = (37 * hash) + UNCOMPRESSED_SIZE_FIELD_NUMBER;
+    hash = (53 * hash) + getUncompressedSize();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -375,13 +368,8 @@
       bitField0_ = 0;
       kind_ = "";
       asOfRevision_ = 0L;
-      if (documentsBuilder_ == null) {
-        documents_ = java.util.Collections.emptyList();
-      } else {
-        documents_ = null;
-        documentsBuilder_.clear();
-      }
-      bitField0_ = (bitField0_ & ~0x00000004);
+      compressedDocuments_ = com.google.protobuf.ByteString.EMPTY;
+      uncompressedSize_ = 0;
       return this;
     }
 
@@ -408,24 +396,11 @@
     @java.lang.Override
     public org.oriolewind.wire.DocumentSet buildPartial() {
       org.oriolewind.wire.DocumentSet result = new org.oriolewind.wire.DocumentSet(this);
-      buildPartialRepeatedFields(result);
       if (bitField0_ != 0) { buildPartial0(result); }
       onBuilt();
       return result;
     }
 
-    private void buildPartialRepeatedFields(org.oriolewind.wire.DocumentSet result) {
-      if (documentsBuilder_ == null) {
-        if (((bitField0_ & 0x00000004) != 0)) {
-          documents_ = java.util.Collections.unmodifiableList(documents_);
-          bitField0_ = (bitField0_ & ~0x00000004);
-        }
-        result.documents_ = documents_;
-      } else {
-        result.documents_ = documentsBuilder_.build();
-      }
-    }
-
     private void buildPartial0(org.oriolewind.wire.DocumentSet result) {
       int from_bitField0_ = bitField0_;
       if (((from_bitField0_ & 0x00000001) != 0)) {
@@ -434,6 +409,12 @@
       if (((from_bitField0_ & 0x00000002) != 0)) {
         result.asOfRevision_ = asOfRevision_;
       }
+      if (((from_bitField0_ & 0x00000004) != 0)) {
+        result.compressedDocuments_ = compressedDocuments_;
+      }
+      if (((from_bitField0_ & 0x00000008) != 0)) {
+        result.uncompressedSize_ = uncompressedSize_;
+      }
     }
 
     @java.lang.Override
@@ -456,31 +437,11 @@
       if (other.getAsOfRevision() != 0L) {
         setAsOfRevision(other.getAsOfRevision());
       }
-      if (documentsBuilder_ == null) {
-        if (!other.documents_.isEmpty()) {
-          if (documents_.isEmpty()) {
-            documents_ = other.documents_;
-            bitField0_ = (bitField0_ & ~0x00000004);
-          } else {
-            ensureDocumentsIsMutable();
-            documents_.addAll(other.documents_);
-          }
-          onChanged();
-        }
-      } else {
-        if (!other.documents_.isEmpty()) {
-          if (documentsBuilder_.isEmpty()) {
-            documentsBuilder_.dispose();
-            documentsBuilder_ = null;
-            documents_ = other.documents_;
-            bitField0_ = (bitField0_ & ~0x00000004);
-            documentsBuilder_ = 
-              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
-                 internalGetDocumentsFieldBuilder() : null;
-          } else {
-            documentsBuilder_.addAllMessages(other.documents_);
-          }
-        }
+      if (!other.getCompressedDocuments().isEmpty()) {
+        setCompressedDocuments(other.getCompressedDocuments());
+      }
+      if (other.getUncompressedSize() != 0) {
+        setUncompressedSize(other.getUncompressedSize());
       }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
@@ -516,19 +477,16 @@
               bitField0_ |= 0x00000002;
               break;
             } // case 16
-            case 26: {
-              org.oriolewind.wire.Document m =
-                  input.readMessage(
-                      org.oriolewind.wire.Document.parser(),
-                      extensionRegistry);
-              if (documentsBuilder_ == null) {
-                ensureDocumentsIsMutable();
-                documents_.add(m);
-              } else {
-                documentsBuilder_.addMessage(m);
-              }
+            case 34: {
+              compressedDocuments_ = input.readBytes();
+              bitField0_ |= 0x00000004;
               break;
-            } // case 26
+            } // case 34
+            case 40: {
+              uncompressedSize_ = input.readUInt32();
+              bitField0_ |= 0x00000008;
+              break;
+            } // case 40
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -650,239 +608,93 @@
       return this;
     }
 
-    private java.util.List<org.oriolewind.wire.Document> documents_ =
-      java.util.Collections.emptyList();
-    private void ensureDocumentsIsMutable() {
-      if (!((bitField0_ & 0x00000004) != 0)) {
-        documents_ = new java.util.ArrayList<org.oriolewind.wire.Document>(documents_);
-        bitField0_ |= 0x00000004;
-       }
-    }
-
-    private com.google.protobuf.RepeatedFieldBuilder<
-        org.oriolewind.wire.Document, org.oriolewind.wire.Document.Builder, org.oriolewind.wire.DocumentOrBuilder> documentsBuilder_;
-
-    /**
-     * <code>repeated .oriolewind.Document documents = 3;</code>
-     */
-    public java.util.List<org.oriolewind.wire.Document> getDocumentsList() {
-      if (documentsBuilder_ == null) {
-        return java.util.Collections.unmodifiableList(documents_);
-      } else {
-        return documentsBuilder_.getMessageList();
-      }
-    }
-    /**
-     * <code>repeated .oriolewind.Document documents = 3;</code>
-     */
-    public int getDocumentsCount() {
-      if (documentsBuilder_ == null) {
-        return documents_.size();
-      } else {
-        return documentsBuilder_.getCount();
-      }
-    }
+    private com.google.protobuf.ByteString compressedDocuments_ = com.google.protobuf.ByteString.EMPTY;
     /**
-     * <code>repeated .oriolewind.Document documents = 3;</code>
+     * <pre>
+     * A DocumentList, compressed with zlib.
+     * </pre>
+     *
+     * <code>bytes compressed_documents = 4;</code>
+     * @return The compressedDocuments.
      */
-    public org.oriolewind.wire.Document getDocuments(int index) {
-      if (documentsBuilder_ == null) {
-        return documents_.get(index);
-      } else {
-        return documentsBuilder_.getMessage(index);
-      }
-    }
-    /**
-     * <code>repeated .oriolewind.Document documents = 3;</code>
-     */
-    public Builder setDocuments(
-        int index, org.oriolewind.wire.Document value) {
-      if (documentsBuilder_ == null) {
-        java.util.Objects.requireNonNull(value);
-        ensureDocumentsIsMutable();
-        documents_.set(index, value);
-        onChanged();
-      } else {
-        documentsBuilder_.setMessage(index, value);
-      }
-      return this;
-    }
-    /**
-     * <code>repeated .oriolewind.Document documents = 3;</code>
-     */
-    public Builder setDocuments(
-        int index, org.oriolewind.wire.Document.Builder builderForValue) {
-      if (documentsBuilder_ == null) {
-        ensureDocumentsIsMutable();
-        documents_.set(index, builderForValue.build());
-        onChanged();
-      } else {
-        documentsBuilder_.setMessage(index, builderForValue.build());
-      }
-      return this;
-    }
-    /**
-     * <code>repeated .oriolewind.Document documents = 3;</code>
-     */
-    public Builder addDocuments(org.oriolewind.wire.Document value) {
-      if (documentsBuilder_ == null) {
-        java.util.Objects.requireNonNull(value);
-        ensureDocumentsIsMutable();
-        documents_.add(value);
-        onChanged();
-      } else {
-        documentsBuilder_.addMessage(value);
-      }
-      return this;
-    }
-    /**
-     * <code>repeated .oriolewind.Document documents = 3;</code>
-     */
-    public Builder addDocuments(
-        int index, org.oriolewind.wire.Document value) {
-      if (documentsBuilder_ == null) {
-        java.util.Objects.requireNonNull(value);
-        ensureDocumentsIsMutable();
-        documents_.add(index, value);
-        onChanged();
-      } else {
-        documentsBuilder_.addMessage(index, value);
-      }
-      return this;
+    @java.lang.Override
+    public com.google.protobuf.ByteString getCompressedDocuments() {
+      return compressedDocuments_;
     }
     /**
-     * <code>repeated .oriolewind.Document documents = 3;</code>
+     * <pre>
+     * A DocumentList, compressed with zlib.
+     * </pre>
+     *
+     * <code>bytes compressed_documents = 4;</code>
+     * @param value The compressedDocuments to set.
+     * @return This builder for chaining.
      */
-    public Builder addDocuments(
-        org.oriolewind.wire.Document.Builder builderForValue) {
-      if (documentsBuilder_ == null) {
-        ensureDocumentsIsMutable();
-        documents_.add(builderForValue.build());
-        onChanged();
-      } else {
-        documentsBuilder_.addMessage(builderForValue.build());
-      }
+    public Builder setCompressedDocuments(com.google.protobuf.ByteString value) {
+      java.util.Objects.requireNonNull(value);
+      compressedDocuments_ = value;
+      bitField0_ |= 0x00000004;
+      onChanged();
       return this;
     }
     /**
-     * <code>repeated .oriolewind.Document documents = 3;</code>
+     * <pre>
+     * A DocumentList, compressed with zlib.
+     * </pre>
+     *
+     * <code>bytes compressed_documents = 4;</code>
+     * @return This builder for chaining.
      */
-    public Builder addDocuments(
-        int index, org.oriolewind.wire.Document.Builder builderForValue) {
-      if (documentsBuilder_ == null) {
-        ensureDocumentsIsMutable();
-        documents_.add(index, builderForValue.build());
-        onChanged();
-      } else {
-        documentsBuilder_.addMessage(index, builderForValue.build());
-      }
+    public Builder clearCompressedDocuments() {
+      bitField0_ = (bitField0_ & ~0x00000004);
+      compressedDocuments_ = getDefaultInstance().getCompressedDocuments();
+      onChanged();
       return this;
     }
+
+    private int uncompressedSize_ ;
     /**
-     * <code>repeated .oriolewind.Document documents = 3;</code>
+     * <pre>
+     * Size of the DocumentList before it was compressed.
+     * </pre>
+     *
+     * <code>uint32 uncompressed_size = 5;</code>
+     * @return The uncompressedSize.
      */
-    public Builder addAllDocuments(
-        java.lang.Iterable<? extends org.oriolewind.wire.Document> values) {
-      if (documentsBuilder_ == null) {
-        ensureDocumentsIsMutable();
-        com.google.protobuf.AbstractMessageLite.Builder.addAll(
-            values, documents_);
-        onChanged();
-      } else {
-        documentsBuilder_.addAllMessages(values);
-      }
-      return this;
+    @java.lang.Override
+    public int getUncompressedSize() {
+      return uncompressedSize_;
     }
     /**
-     * <code>repeated .oriolewind.Document documents = 3;</code>
+     * <pre>
+     * Size of the DocumentList before it was compressed.
+     * </pre>
+     *
+     * <code>uint32 uncompressed_size = 5;</code>
+     * @param value The uncompressedSize to set.
+     * @return This builder for chaining.
      */
-    public Builder clearDocuments() {
-      if (documentsBuilder_ == null) {
-        documents_ = java.util.Collections.emptyList();
-        bitField0_ = (bitField0_ & ~0x00000004);
-        onChanged();
-      } else {
-        documentsBuilder_.clear();
-      }
+    public Builder setUncompressedSize(int value) {
+
+      uncompressedSize_ = value;
+      bitField0_ |= 0x00000008;
+      onChanged();
       return this;
     }
     /**
-     * <code>repeated .oriolewind.Document documents = 3;</code>
+     * <pre>
+     * Size of the DocumentList before it was compressed.
+     * </pre>
+     *
+     * <code>uint32 uncompressed_size = 5;</code>
+     * @return This builder for chaining.
      */
-    public Builder removeDocuments(int index) {
-      if (documentsBuilder_ == null) {
-        ensureDocumentsIsMutable();
-        documents_.remove(index);
-        onChanged();
-      } else {
-        documentsBuilder_.remove(index);
-      }
+    public Builder clearUncompressedSize() {
+      bitField0_ = (bitField0_ & ~0x00000008);
+      uncompressedSize_ = 0;
+      onChanged();
       return this;
     }
-    /**
-     * <code>repeated .oriolewind.Document documents = 3;</code>
-     */
-    public org.oriolewind.wire.Document.Builder getDocumentsBuilder(
-        int index) {
-      return internalGetDocumentsFieldBuilder().getBuilder(index);
-    }
-    /**
-     * <code>repeated .oriolewind.Document documents = 3;</code>
-     */
-    public org.oriolewind.wire.DocumentOrBuilder getDocumentsOrBuilder(
-        int index) {
-      if (documentsBuilder_ == null) {
-        return documents_.get(index);  } else {
-        return documentsBuilder_.getMessageOrBuilder(index);
-      }
-    }
-    /**
-     * <code>repeated .oriolewind.Document documents = 3;</code>
-     */
-    public java.util.List<? extends org.oriolewind.wire.DocumentOrBuilder> 
-         getDocumentsOrBuilderList() {
-      if (documentsBuilder_ != null) {
-        return documentsBuilder_.getMessageOrBuilderList();
-      } else {
-        return java.util.Collections.unmodifiableList(documents_);
-      }
-    }
-    /**
-     * <code>repeated .oriolewind.Document documents = 3;</code>
-     */
-    public org.oriolewind.wire.Document.Builder addDocumentsBuilder() {
-      return internalGetDocumentsFieldBuilder().addBuilder(
-          org.oriolewind.wire.Document.getDefaultInstance());
-    }
-    /**
-     * <code>repeated .oriolewind.Document documents = 3;</code>
-     */
-    public org.oriolewind.wire.Document.Builder addDocumentsBuilder(
-        int index) {
-      return internalGetDocumentsFieldBuilder().addBuilder(
-          index, org.oriolewind.wire.Document.getDefaultInstance());
-    }
-    /**
-     * <code>repeated .oriolewind.Document documents = 3;</code>
-     */
-    public java.util.List<org.oriolewind.wire.Document.Builder> 
-         getDocumentsBuilderList() {
-      return internalGetDocumentsFieldBuilder().getBuilderList();
-    }
-    private com.google.protobuf.RepeatedFieldBuilder<
-        org.oriolewind.wire.Document, org.oriolewind.wire.Document.Builder, org.oriolewind.wire.DocumentOrBuilder> 
-        internalGetDocumentsFieldBuilder() {
-      if (documentsBuilder_ == null) {
-        documentsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
-            org.oriolewind.wire.Document, org.oriolewind.wire.Document.Builder, org.oriolewind.wire.DocumentOrBuilder>(
-                documents_,
-                ((bitField0_ & 0x00000004) != 0),
-                getParentForChildren(),
-                isClean());
-        documents_ = null;
-      }
-      return documentsBuilder_;
-    }
 
     // @@protoc_insertion_point(builder_scope:oriolewind.DocumentSet)
   }
--- a/oriolewind-wire/src/main/java/org/oriolewind/wire/DocumentSetOrBuilder.java
+++ b/oriolewind-wire/src/main/java/org/oriolewind/wire/DocumentSetOrBuilder.java
@@ -29,26 +29,22 @@
   long getAsOfRevision();
 
   /**
-   * <code>repeated .oriolewind.Document documents = 3;</code>
-   */
-  java.util.List<org.oriolewind.wire.Document> 
-      getDocumentsList();
-  /**
-   * <code>repeated .oriolewind.Document documents = 3;</code>
-   */
-  org.oriolewind.wire.Document getDocuments(int index);
-  /**
-   * <code>repeated .oriolewind.Document documents = 3;</code>
-   */
-  int getDocumentsCount();
-  /**
-   * <code>repeated .oriolewind.Document documents = 3;</code>
-   */
-  java.util.List<? extends org.oriolewind.wire.DocumentOrBuilder> 
-      getDocumentsOrBuilderList();
+   * <pre>
+   * A DocumentList, compressed with zlib.
+   * </pre>
+   *
+   * <code>bytes compressed_documents = 4;</code>
+   * @return The compressedDocuments.
+   */
+  com.google.protobuf.ByteString getCompressedDocuments();
+
   /**
-   * <code>repeated .oriolewind.Document documents = 3;</code>
+   * <pre>
+   * Size of the DocumentList before it was compressed.
+   * </pre>
+   *
+   * <code>uint32 uncompressed_size = 5;</code>
+   * @return The uncompressedSize.
    */
-  org.oriolewind.wire.DocumentOrBuilder getDocumentsOrBuilder(
-      int index);
+  int getUncompressedSize();
 }
--- a/oriolewind-wire/src/main/java/org/oriolewind/wire/Peer.java
+++ b/oriolewind-wire/src/main/java/org/oriolewind/wire/Peer.java
@@ -151,6 +151,11 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_oriolewind_DocumentSet_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_oriolewind_DocumentList_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_oriolewind_DocumentList_fieldAccessorTable;
 
   public static com.google.protobuf.Descriptors.FileDescriptor
       getDescriptor() {
@@ -253,35 +258,37 @@
       "8\001\0326\n\024DocumentDigestsEntry\022\013\n\003key\030\001 \001(\t\022" +
       "\r\n\005value\030\002 \001(\004:\0028\001\"\035\n\014DocumentPull\022\r\n\005ki" +
       "nds\030\001 \003(\t\";\n\010Document\022\014\n\004name\030\001 \001(\t\022\020\n\010r" +
-      "evision\030\002 \001(\004\022\017\n\007content\030\003 \001(\014\"\\\n\013Docume" +
+      "evision\030\002 \001(\004\022\017\n\007content\030\003 \001(\014\"r\n\013Docume" +
       "ntSet\022\014\n\004kind\030\001 \001(\t\022\026\n\016as_of_revision\030\002 " +
-      "\001(\004\022\'\n\tdocuments\030\003 \003(\0132\024.oriolewind.Docu" +
-      "ment*\214\001\n\013LinkPurpose\022\034\n\030LINK_PURPOSE_UNS" +
-      "PECIFIED\020\000\022\026\n\022LINK_PURPOSE_CHILD\020\001\022\027\n\023LI" +
-      "NK_PURPOSE_BRIDGE\020\002\022\026\n\022LINK_PURPOSE_PROB" +
-      "E\020\003\022\026\n\022LINK_PURPOSE_CALLS\020\004*q\n\013MemberSta" +
-      "te\022\034\n\030MEMBER_STATE_UNSPECIFIED\020\000\022\023\n\017MEMB" +
-      "ER_STATE_UP\020\001\022\030\n\024MEMBER_STATE_LEAVING\020\002\022" +
-      "\025\n\021MEMBER_STATE_DOWN\020\003*y\n\014KeyOperation\022\035" +
-      "\n\031KEY_OPERATION_UNSPECIFIED\020\000\022\027\n\023KEY_OPE" +
-      "RATION_CLAIM\020\001\022\031\n\025KEY_OPERATION_RELEASE\020" +
-      "\002\022\026\n\022KEY_OPERATION_DONE\020\003*z\n\013CallOutcome" +
-      "\022\034\n\030CALL_OUTCOME_UNSPECIFIED\020\000\022\031\n\025CALL_O" +
-      "UTCOME_ANSWERED\020\001\022\030\n\024CALL_OUTCOME_NOT_RU" +
-      "N\020\002\022\030\n\024CALL_OUTCOME_UNKNOWN\020\003*\362\002\n\014NotRun" +
-      "Reason\022\036\n\032NOT_RUN_REASON_UNSPECIFIED\020\000\022\035" +
-      "\n\031NOT_RUN_REASON_OVERLOADED\020\001\022\032\n\026NOT_RUN" +
-      "_REASON_LEAVING\020\002\022\032\n\026NOT_RUN_REASON_EXPI" +
-      "RED\020\003\022\037\n\033NOT_RUN_REASON_WRONG_TARGET\020\004\022\036" +
-      "\n\032NOT_RUN_REASON_UNREACHABLE\020\005\022\034\n\030NOT_RU" +
-      "N_REASON_CANCELLED\020\006\022\037\n\033NOT_RUN_REASON_K" +
-      "EY_CONFLICT\020\007\022\"\n\036NOT_RUN_REASON_DATA_CEN" +
-      "TRE_OUT\020\010\022%\n!NOT_RUN_REASON_REFUSED_BY_B" +
-      "ACKEND\020\t\022 \n\034NOT_RUN_REASON_KEY_UNSETTLED" +
-      "\020\n*z\n\014BackendPhase\022\035\n\031BACKEND_PHASE_UNSP" +
-      "ECIFIED\020\000\022\027\n\023BACKEND_PHASE_READY\020\001\022\032\n\026BA" +
-      "CKEND_PHASE_DRAINING\020\002\022\026\n\022BACKEND_PHASE_" +
-      "GONE\020\003B\027\n\023org.oriolewind.wireP\001b\006proto3"
+      "\001(\004\022\034\n\024compressed_documents\030\004 \001(\014\022\031\n\021unc" +
+      "ompressed_size\030\005 \001(\rJ\004\010\003\020\004\"7\n\014DocumentLi" +
+      "st\022\'\n\tdocuments\030\001 \003(\0132\024.oriolewind.Docum" +
+      "ent*\214\001\n\013LinkPurpose\022\034\n\030LINK_PURPOSE_UNSP" +
+      "ECIFIED\020\000\022\026\n\022LINK_PURPOSE_CHILD\020\001\022\027\n\023LIN" +
+      "K_PURPOSE_BRIDGE\020\002\022\026\n\022LINK_PURPOSE_PROBE" +
+      "\020\003\022\026\n\022LINK_PURPOSE_CALLS\020\004*q\n\013MemberStat" +
+      "e\022\034\n\030MEMBER_STATE_UNSPECIFIED\020\000\022\023\n\017MEMBE" +
+      "R_STATE_UP\020\001\022\030\n\024MEMBER_STATE_LEAVING\020\002\022\025" +
+      "\n\021MEMBER_STATE_DOWN\020\003*y\n\014KeyOperation\022\035\n" +
+      "\031KEY_OPERATION_UNSPECIFIED\020\000\022\027\n\023KEY_OPER" +
+      "ATION_CLAIM\020\001\022\031\n\025KEY_OPERATION_RELEASE\020\002" +
+      "\022\026\n\022KEY_OPERATION_DONE\020\003*z\n\013CallOutcome\022" +
+      "\034\n\030CALL_OUTCOME_UNSPECIFIED\020\000\022\031\n\025CALL_OU" +
+      "TCOME_ANSWERED\020\001\022\030\n\024CALL_OUTCOME_NOT_RUN" +
+      "\020\002\022\030\n\024CALL_OUTCOME_UNKNOWN\020\003*\362\002\n\014NotRunR" +
+      "eason\022\036\n\032NOT_RUN_REASON_UNSPECIFIED\020\000\022\035\n" +
+      "\031NOT_RUN_REASON_OVERLOADED\020\001\022\032\n\026NOT_RUN_" +
+      "REASON_LEAVING\020\002\022\032\n\026NOT_RUN_REASON_EXPIR" +
+      "ED\020\003\022\037\n\033NOT_RUN_REASON_WRONG_TARGET\020\004\022\036\n" +
+      "\032NOT_RUN_REASON_UNREACHABLE\020\005\022\034\n\030NOT_RUN" +
+      "_REASON_CANCELLED\020\006\022\037\n\033NOT_RUN_REASON_KE" +
+      "Y_CONFLICT\020\007\022\"\n\036NOT_RUN_REASON_DATA_CENT" +
+      "RE_OUT\020\010\022%\n!NOT_RUN_REASON_REFUSED_BY_BA" +
+      "CKEND\020\t\022 \n\034NOT_RUN_REASON_KEY_UNSETTLED\020" +
+      "\n*z\n\014BackendPhase\022\035\n\031BACKEND_PHASE_UNSPE" +
+      "CIFIED\020\000\022\027\n\023BACKEND_PHASE_READY\020\001\022\032\n\026BAC" +
+      "KEND_PHASE_DRAINING\020\002\022\026\n\022BACKEND_PHASE_G" +
+      "ONE\020\003B\027\n\023org.oriolewind.wireP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -436,7 +443,13 @@
     internal_static_oriolewind_DocumentSet_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_oriolewind_DocumentSet_descriptor,
-        new java.lang.String[] { "Kind", "AsOfRevision", "Documents", });
+        new java.lang.String[] { "Kind", "AsOfRevision", "CompressedDocuments", "UncompressedSize", });
+    internal_static_oriolewind_DocumentList_descriptor =
+      getDescriptor().getMessageType(22);
+    internal_static_oriolewind_DocumentList_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_oriolewind_DocumentList_descriptor,
+        new java.lang.String[] { "Documents", });
     descriptor.resolveAllFeaturesImmutable();
   }
 
