--- a/oriolewind-core/src/main/java/org/oriolewind/spread/StoreFollowing.java
+++ b/oriolewind-core/src/main/java/org/oriolewind/spread/StoreFollowing.java
@@ -8,9 +8,9 @@
 
 /**
  * Decides whether this node follows the operators' documents in the store itself. In each data
- * centre the node that has run longest does, as long as the store answers it; the others hear from
- * it, so that a change costs the store a few calls a data centre. Not safe for use by several
- * threads.
+ * centre one node does, as long as the store answers it: of those with the widest link the one that
+ * has run longest. The others hear from it, so that a change costs the store a few calls a data
+ * centre, and leaves by a link that bears it. Not safe for use by several threads.
  */
 public final class StoreFollowing {
     /** Time for which another node must lead before this one leaves the store to it. */
@@ -26,7 +26,10 @@
     public static final long LEADER_STATUS_MILLIS = 500;
 
     private static final Comparator<NodeStatus> SENIORITY =
-            Comparator.comparingLong(NodeStatus::getIncarnation).thenComparing(NodeStatus::getNode);
+            Comparator.comparingInt(NodeStatus::getLinkMbps)
+                    .reversed()
+                    .thenComparingLong(NodeStatus::getIncarnation)
+                    .thenComparing(NodeStatus::getNode);
 
     private final NodeClock mClock;
     private boolean mFollows = true;
--- a/oriolewind-core/src/test/java/org/oriolewind/spread/StoreFollowingTest.java
+++ b/oriolewind-core/src/test/java/org/oriolewind/spread/StoreFollowingTest.java
@@ -86,4 +86,23 @@
         mFleet.onStatus(status("a", "dc1", 40, false));
         assertTrue(update());
     }
+
+    /** A leader with a narrow link once took 2.3 s to pass one change on. */
+    @ParameterizedTest
+    @CsvSource({
+        "10, 200, 60, false", // joined later, with a wider link
+        "200, 10, 40, true", // has run longer, with a narrower link
+        "10, 10, 40, false",
+    })
+    void nodeWithTheWidestLinkLeads(int own, int others, long incarnation, boolean follows) {
+        NodeStatus self = mSelf.toBuilder().setLinkMbps(own).build();
+        boolean result = true;
+        for (int i = 0; i < 10; i++) {
+            mFleet.onStatus(
+                    status("a", "dc1", incarnation, true).toBuilder().setLinkMbps(others).build());
+            result = mFollowing.update(self, mFleet.heard());
+            mClock.advanceMillis(500);
+        }
+        assertEquals(follows, result);
+    }
 }
--- a/oriolewind-wire/src/main/java/org/oriolewind/wire/NodeStatus.java
+++ b/oriolewind-wire/src/main/java/org/oriolewind/wire/NodeStatus.java
@@ -619,6 +619,21 @@
     return trialProgress_.get(index);
   }
 
+  public static final int LINK_MBPS_FIELD_NUMBER = 17;
+  private int linkMbps_ = 0;
+  /**
+   * <pre>
+   * Capacity of the machine's own link, in Mbit/s; 0 if it does not know.
+   * </pre>
+   *
+   * <code>uint32 link_mbps = 17;</code>
+   * @return The linkMbps.
+   */
+  @java.lang.Override
+  public int getLinkMbps() {
+    return linkMbps_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -687,6 +702,9 @@
     for (int i = 0; i < trialProgress_.size(); i++) {
       output.writeMessage(16, trialProgress_.get(i));
     }
+    if (linkMbps_ != 0) {
+      output.writeUInt32(17, linkMbps_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -774,6 +792,10 @@
           }
           size += 2 * count;
         }
+    if (linkMbps_ != 0) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt32Size(17, linkMbps_);
+    }
     return size;
   }
   @java.lang.Override
@@ -833,6 +855,8 @@
         other.internalGetDocumentDigests())) return false;
     if (!getTrialProgressList()
         .equals(other.getTrialProgressList())) return false;
+    if (getLinkMbps()
+        != other.getLinkMbps()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -891,6 +915,8 @@
       hash = (37 * hash) + TRIAL_PROGRESS_FIELD_NUMBER;
       hash = (53 * hash) + getTrialProgressList().hashCode();
     }
+    hash = (37 * hash) + LINK_MBPS_FIELD_NUMBER;
+    hash = (53 * hash) + getLinkMbps();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -1092,6 +1118,7 @@
         trialProgressBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00008000);
+      linkMbps_ = 0;
       return this;
     }
 
@@ -1195,6 +1222,9 @@
         result.documentDigests_ = internalGetDocumentDigests();
         result.documentDigests_.makeImmutable();
       }
+      if (((from_bitField0_ & 0x00010000) != 0)) {
+        result.linkMbps_ = linkMbps_;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -1310,6 +1340,9 @@
           }
         }
       }
+      if (other.getLinkMbps() != 0) {
+        setLinkMbps(other.getLinkMbps());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -1440,6 +1473,11 @@
               }
               break;
             } // case 130
+            case 136: {
+              linkMbps_ = input.readUInt32();
+              bitField0_ |= 0x00010000;
+              break;
+            } // case 136
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -2990,6 +3028,50 @@
       return trialProgressBuilder_;
     }
 
+    private int linkMbps_ ;
+    /**
+     * <pre>
+     * Capacity of the machine's own link, in Mbit/s; 0 if it does not know.
+     * </pre>
+     *
+     * <code>uint32 link_mbps = 17;</code>
+     * @return The linkMbps.
+     */
+    @java.lang.Override
+    public int getLinkMbps() {
+      return linkMbps_;
+    }
+    /**
+     * <pre>
+     * Capacity of the machine's own link, in Mbit/s; 0 if it does not know.
+     * </pre>
+     *
+     * <code>uint32 link_mbps = 17;</code>
+     * @param value The linkMbps to set.
+     * @return This builder for chaining.
+     */
+    public Builder setLinkMbps(int value) {
+
+      linkMbps_ = value;
+      bitField0_ |= 0x00010000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Capacity of the machine's own link, in Mbit/s; 0 if it does not know.
+     * </pre>
+     *
+     * <code>uint32 link_mbps = 17;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearLinkMbps() {
+      bitField0_ = (bitField0_ & ~0x00010000);
+      linkMbps_ = 0;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:oriolewind.NodeStatus)
   }
 
--- a/oriolewind-wire/src/main/java/org/oriolewind/wire/NodeStatusOrBuilder.java
+++ b/oriolewind-wire/src/main/java/org/oriolewind/wire/NodeStatusOrBuilder.java
@@ -308,4 +308,14 @@
    */
   org.oriolewind.wire.TrialProgressOrBuilder getTrialProgressOrBuilder(
       int index);
+
+  /**
+   * <pre>
+   * Capacity of the machine's own link, in Mbit/s; 0 if it does not know.
+   * </pre>
+   *
+   * <code>uint32 link_mbps = 17;</code>
+   * @return The linkMbps.
+   */
+  int getLinkMbps();
 }
--- a/oriolewind-wire/src/main/java/org/oriolewind/wire/Peer.java
+++ b/oriolewind-wire/src/main/java/org/oriolewind/wire/Peer.java
@@ -240,7 +240,7 @@
       "\001(\t\022\023\n\013born_millis\030\002 \001(\004\022\017\n\007service\030\003 \001(" +
       "\t\022\017\n\007version\030\004 \001(\t\022\'\n\005phase\030\005 \001(\0162\030.orio" +
       "lewind.BackendPhase\022\r\n\005slots\030\006 \001(\r\022\023\n\013co" +
-      "ld_millis\030\007 \001(\r\"\200\005\n\nNodeStatus\022\014\n\004node\030\001" +
+      "ld_millis\030\007 \001(\r\"\223\005\n\nNodeStatus\022\014\n\004node\030\001" +
       " \001(\t\022\023\n\013incarnation\030\002 \001(\004\022\020\n\010sequence\030\003 " +
       "\001(\004\022\023\n\013data_centre\030\004 \001(\t\022\024\n\014peer_address" +
       "\030\005 \001(\t\022)\n\007backend\030\006 \001(\0132\030.oriolewind.Bac" +
@@ -253,42 +253,43 @@
       "\025\n\rfollows_store\030\016 \001(\010\022E\n\020document_diges" +
       "ts\030\017 \003(\0132+.oriolewind.NodeStatus.Documen" +
       "tDigestsEntry\0221\n\016trial_progress\030\020 \003(\0132\031." +
-      "oriolewind.TrialProgress\0328\n\026DocumentRevi" +
-      "sionsEntry\022\013\n\003key\030\001 \001(\t\022\r\n\005value\030\002 \001(\004:\002" +
-      "8\001\0326\n\024DocumentDigestsEntry\022\013\n\003key\030\001 \001(\t\022" +
-      "\r\n\005value\030\002 \001(\004:\0028\001\"\035\n\014DocumentPull\022\r\n\005ki" +
-      "nds\030\001 \003(\t\";\n\010Document\022\014\n\004name\030\001 \001(\t\022\020\n\010r" +
-      "evision\030\002 \001(\004\022\017\n\007content\030\003 \001(\014\"r\n\013Docume" +
-      "ntSet\022\014\n\004kind\030\001 \001(\t\022\026\n\016as_of_revision\030\002 " +
-      "\001(\004\022\034\n\024compressed_documents\030\004 \001(\014\022\031\n\021unc" +
-      "ompressed_size\030\005 \001(\rJ\004\010\003\020\004\"7\n\014DocumentLi" +
-      "st\022\'\n\tdocuments\030\001 \003(\0132\024.oriolewind.Docum" +
-      "ent*\214\001\n\013LinkPurpose\022\034\n\030LINK_PURPOSE_UNSP" +
-      "ECIFIED\020\000\022\026\n\022LINK_PURPOSE_CHILD\020\001\022\027\n\023LIN" +
-      "K_PURPOSE_BRIDGE\020\002\022\026\n\022LINK_PURPOSE_PROBE" +
-      "\020\003\022\026\n\022LINK_PURPOSE_CALLS\020\004*q\n\013MemberStat" +
-      "e\022\034\n\030MEMBER_STATE_UNSPECIFIED\020\000\022\023\n\017MEMBE" +
-      "R_STATE_UP\020\001\022\030\n\024MEMBER_STATE_LEAVING\020\002\022\025" +
-      "\n\021MEMBER_STATE_DOWN\020\003*y\n\014KeyOperation\022\035\n" +
-      "\031KEY_OPERATION_UNSPECIFIED\020\000\022\027\n\023KEY_OPER" +
-      "ATION_CLAIM\020\001\022\031\n\025KEY_OPERATION_RELEASE\020\002" +
-      "\022\026\n\022KEY_OPERATION_DONE\020\003*z\n\013CallOutcome\022" +
-      "\034\n\030CALL_OUTCOME_UNSPECIFIED\020\000\022\031\n\025CALL_OU" +
-      "TCOME_ANSWERED\020\001\022\030\n\024CALL_OUTCOME_NOT_RUN" +
-      "\020\002\022\030\n\024CALL_OUTCOME_UNKNOWN\020\003*\362\002\n\014NotRunR" +
-      "eason\022\036\n\032NOT_RUN_REASON_UNSPECIFIED\020\000\022\035\n" +
-      "\031NOT_RUN_REASON_OVERLOADED\020\001\022\032\n\026NOT_RUN_" +
-      "REASON_LEAVING\020\002\022\032\n\026NOT_RUN_REASON_EXPIR" +
-      "ED\020\003\022\037\n\033NOT_RUN_REASON_WRONG_TARGET\020\004\022\036\n" +
-      "\032NOT_RUN_REASON_UNREACHABLE\020\005\022\034\n\030NOT_RUN" +
-      "_REASON_CANCELLED\020\006\022\037\n\033NOT_RUN_REASON_KE" +
-      "Y_CONFLICT\020\007\022\"\n\036NOT_RUN_REASON_DATA_CENT" +
-      "RE_OUT\020\010\022%\n!NOT_RUN_REASON_REFUSED_BY_BA" +
-      "CKEND\020\t\022 \n\034NOT_RUN_REASON_KEY_UNSETTLED\020" +
-      "\n*z\n\014BackendPhase\022\035\n\031BACKEND_PHASE_UNSPE" +
-      "CIFIED\020\000\022\027\n\023BACKEND_PHASE_READY\020\001\022\032\n\026BAC" +
-      "KEND_PHASE_DRAINING\020\002\022\026\n\022BACKEND_PHASE_G" +
-      "ONE\020\003B\027\n\023org.oriolewind.wireP\001b\006proto3"
+      "oriolewind.TrialProgress\022\021\n\tlink_mbps\030\021 " +
+      "\001(\r\0328\n\026DocumentRevisionsEntry\022\013\n\003key\030\001 \001" +
+      "(\t\022\r\n\005value\030\002 \001(\004:\0028\001\0326\n\024DocumentDigests" +
+      "Entry\022\013\n\003key\030\001 \001(\t\022\r\n\005value\030\002 \001(\004:\0028\001\"\035\n" +
+      "\014DocumentPull\022\r\n\005kinds\030\001 \003(\t\";\n\010Document" +
+      "\022\014\n\004name\030\001 \001(\t\022\020\n\010revision\030\002 \001(\004\022\017\n\007cont" +
+      "ent\030\003 \001(\014\"r\n\013DocumentSet\022\014\n\004kind\030\001 \001(\t\022\026" +
+      "\n\016as_of_revision\030\002 \001(\004\022\034\n\024compressed_doc" +
+      "uments\030\004 \001(\014\022\031\n\021uncompressed_size\030\005 \001(\rJ" +
+      "\004\010\003\020\004\"7\n\014DocumentList\022\'\n\tdocuments\030\001 \003(\013" +
+      "2\024.oriolewind.Document*\214\001\n\013LinkPurpose\022\034" +
+      "\n\030LINK_PURPOSE_UNSPECIFIED\020\000\022\026\n\022LINK_PUR" +
+      "POSE_CHILD\020\001\022\027\n\023LINK_PURPOSE_BRIDGE\020\002\022\026\n" +
+      "\022LINK_PURPOSE_PROBE\020\003\022\026\n\022LINK_PURPOSE_CA" +
+      "LLS\020\004*q\n\013MemberState\022\034\n\030MEMBER_STATE_UNS" +
+      "PECIFIED\020\000\022\023\n\017MEMBER_STATE_UP\020\001\022\030\n\024MEMBE" +
+      "R_STATE_LEAVING\020\002\022\025\n\021MEMBER_STATE_DOWN\020\003" +
+      "*y\n\014KeyOperation\022\035\n\031KEY_OPERATION_UNSPEC" +
+      "IFIED\020\000\022\027\n\023KEY_OPERATION_CLAIM\020\001\022\031\n\025KEY_" +
+      "OPERATION_RELEASE\020\002\022\026\n\022KEY_OPERATION_DON" +
+      "E\020\003*z\n\013CallOutcome\022\034\n\030CALL_OUTCOME_UNSPE" +
+      "CIFIED\020\000\022\031\n\025CALL_OUTCOME_ANSWERED\020\001\022\030\n\024C" +
+      "ALL_OUTCOME_NOT_RUN\020\002\022\030\n\024CALL_OUTCOME_UN" +
+      "KNOWN\020\003*\362\002\n\014NotRunReason\022\036\n\032NOT_RUN_REAS" +
+      "ON_UNSPECIFIED\020\000\022\035\n\031NOT_RUN_REASON_OVERL" +
+      "OADED\020\001\022\032\n\026NOT_RUN_REASON_LEAVING\020\002\022\032\n\026N" +
+      "OT_RUN_REASON_EXPIRED\020\003\022\037\n\033NOT_RUN_REASO" +
+      "N_WRONG_TARGET\020\004\022\036\n\032NOT_RUN_REASON_UNREA" +
+      "CHABLE\020\005\022\034\n\030NOT_RUN_REASON_CANCELLED\020\006\022\037" +
+      "\n\033NOT_RUN_REASON_KEY_CONFLICT\020\007\022\"\n\036NOT_R" +
+      "UN_REASON_DATA_CENTRE_OUT\020\010\022%\n!NOT_RUN_R" +
+      "EASON_REFUSED_BY_BACKEND\020\t\022 \n\034NOT_RUN_RE" +
+      "ASON_KEY_UNSETTLED\020\n*z\n\014BackendPhase\022\035\n\031" +
+      "BACKEND_PHASE_UNSPECIFIED\020\000\022\027\n\023BACKEND_P" +
+      "HASE_READY\020\001\022\032\n\026BACKEND_PHASE_DRAINING\020\002" +
+      "\022\026\n\022BACKEND_PHASE_GONE\020\003B\027\n\023org.oriolewi" +
+      "nd.wireP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -413,7 +414,7 @@
     internal_static_oriolewind_NodeStatus_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_oriolewind_NodeStatus_descriptor,
-        new java.lang.String[] { "Node", "Incarnation", "Sequence", "DataCentre", "PeerAddress", "Backend", "Limit", "InFlight", "MeanServiceMicros", "FailurePermille", "Leaving", "DocumentRevisions", "TrialCounts", "FollowsStore", "DocumentDigests", "TrialProgress", });
+        new java.lang.String[] { "Node", "Incarnation", "Sequence", "DataCentre", "PeerAddress", "Backend", "Limit", "InFlight", "MeanServiceMicros", "FailurePermille", "Leaving", "DocumentRevisions", "TrialCounts", "FollowsStore", "DocumentDigests", "TrialProgress", "LinkMbps", });
     internal_static_oriolewind_NodeStatus_DocumentRevisionsEntry_descriptor =
       internal_static_oriolewind_NodeStatus_descriptor.getNestedType(0);
     internal_static_oriolewind_NodeStatus_DocumentRevisionsEntry_fieldAccessorTable = new
