--- a/oriolewind-node/src/main/java/org/oriolewind/node/http/HttpExchanges.java
+++ b/oriolewind-node/src/main/java/org/oriolewind/node/http/HttpExchanges.java
@@ -22,9 +22,6 @@
  * request at a time. To be used on its event loop only.
  */
 public final class HttpExchanges {
-    /** Longest response: the largest object of a store is a megabyte, a page of them as much. */
-    private static final int MAX_RESPONSE_BYTES = 64 * 1024 * 1024;
-
     private static final int MAX_LINE_BYTES = 8192;
     private static final int MAX_HEADER_BYTES = 32_768;
     private static final int MAX_CHUNK_BYTES = 65_536;
@@ -39,6 +36,7 @@
     private final int mMaxConnections;
     private final int mConnectTimeoutMillis;
     private final long mMaxIdleMillis;
+    private final int mMaxResponseBytes;
     private final ArrayDeque<HttpConnection> mIdle = new ArrayDeque<>();
     private int mOpen;
 
@@ -50,14 +48,17 @@
      * @param maxConnections open connections at most
      * @param connectTimeoutMillis time for a new connection
      * @param maxIdleMillis time for which an idle connection is trusted
+     * @param maxResponseBytes longest response; a connection on which more comes is closed
      */
     public HttpExchanges(
             EventLoop loop,
             InetSocketAddress address,
             int maxConnections,
             int connectTimeoutMillis,
-            long maxIdleMillis) {
+            long maxIdleMillis,
+            int maxResponseBytes) {
         mLoop = loop;
+        mMaxResponseBytes = maxResponseBytes;
         mAddress = address;
         mMaxConnections = maxConnections;
         mConnectTimeoutMillis = connectTimeoutMillis;
@@ -130,7 +131,7 @@
         setKeepAlive(channel);
         channel.pipeline()
                 .addLast(new HttpClientCodec(MAX_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES))
-                .addLast(new HttpObjectAggregator(MAX_RESPONSE_BYTES))
+                .addLast(new HttpObjectAggregator(mMaxResponseBytes))
                 .addLast(new HttpConnection(channel, mMaxIdleMillis, this::onIdle, this::onClosed));
     }
 
--- a/oriolewind-node/src/test/java/org/oriolewind/node/http/HttpExchangesTest.java
+++ b/oriolewind-node/src/test/java/org/oriolewind/node/http/HttpExchangesTest.java
@@ -32,6 +32,11 @@
 class HttpExchangesTest {
     private static final String OK = "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: 2\r\n\r\nok";
 
+    private static final int MAX_RESPONSE_BYTES = 1024 * 1024;
+
+    /** The longest response and what the buffers of the connection hold besides. */
+    private static final long MAX_ACCEPTED_BYTES = MAX_RESPONSE_BYTES + 16L * 1024 * 1024;
+
     private final EventLoopGroup mGroup =
             new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final EventLoop mLoop = mGroup.next();
@@ -44,7 +49,7 @@
         mServer = new ServerSocket(0, 10, InetAddress.getLoopbackAddress());
         InetSocketAddress address =
                 new InetSocketAddress(InetAddress.getLoopbackAddress(), mServer.getLocalPort());
-        mExchanges = new HttpExchanges(mLoop, address, 10, 500, 5000);
+        mExchanges = new HttpExchanges(mLoop, address, 10, 500, 5000, MAX_RESPONSE_BYTES);
     }
 
     @AfterEach
@@ -222,4 +227,40 @@
             assertEquals(-1, socket.getInputStream().read());
         }
     }
+
+    /** Bytes without end once filled the memory of the process up to 64 MB an answer. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "HTTP/1.1 200 OK\r\nId: a\r\n\r\n",
+                "HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 99999999999\r\n\r\n",
+                "HTTP/1.1 200 OK\r\nId: a\r\nX: ",
+                "HTTP/1.1 200 OK\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n7fffffff\r\n",
+                "HTTP/1.1 200 OK\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX: ",
+                ""
+            })
+    void answerWithoutEndIsGivenUp(String begin) throws Exception {
+        send("a", 20_000);
+        try (Socket socket = mServer.accept()) {
+            readRequest(socket);
+            write(socket, begin);
+            assertTrue(writeUntilClosed(socket) <= MAX_ACCEPTED_BYTES);
+            assertEquals("sent", end());
+        }
+    }
+
+    private static long writeUntilClosed(Socket socket) {
+        byte[] bytes = "x".repeat(65_536).getBytes(StandardCharsets.UTF_8);
+        long written = 0;
+        try {
+            while (written <= MAX_ACCEPTED_BYTES) {
+                socket.getOutputStream().write(bytes);
+                written += bytes.length;
+            }
+        } catch (IOException e) {
+            // The other side has closed the connection.
+            return written;
+        }
+        return written;
+    }
 }
