Probe a new version right before the take-over, and take it back to its share if the evidence turns

The probe at half of the time was the last look under load, and slow calls of the take-over had not ended when the outcome was due.

The probe begins 3.5 s before the take-over now, so that its slow calls have ended by then, and a version that isn't proven any more falls back to its small share in the middle of the take-over.

--- a/oriolewind-core/src/main/java/org/oriolewind/trial/Trial.java
+++ b/oriolewind-core/src/main/java/org/oriolewind/trial/Trial.java
@@ -24,7 +24,7 @@
  * the new version.
  *
  * <p>The new version keeps a small share for nearly the whole time that the operator gives, since
- * some faults begin late. In the second half one of its backend servers is filled with calls, since
+ * some faults begin late. Towards the end one of its backend servers is filled with calls, since
  * some faults begin under load. All calls move to it at the end, if it has borne that.
  *
  * <p>Invariants: a version once found bad stays so; only a version that was judged good under load
@@ -35,11 +35,11 @@
     /** Version under which the evidence of all old versions is counted. */
     static final String OLD = "";
 
-    /** Share of the new version while it is compared: half of the usual exposure bound. */
-    private static final double COMPARED_SHARE = 0.05;
+    /** Share of the new version while it is compared; the probe needs its part of the bound too. */
+    private static final double COMPARED_SHARE = 0.04;
 
-    /** Part of the operator's time after which the new version is probed under load. */
-    private static final double PROBE_START_PART = 0.5;
+    /** Time before the take-over at which the probe begins: calls, and the end of slow ones. */
+    private static final long PROBE_MILLIS = 3500;
 
     /** Calls under load that a verdict rests on: the judge takes some 20 for a gross fault. */
     static final long MIN_PROBE_CALLS = 40;
@@ -181,7 +181,7 @@
     private void moveOn(long nowMillis) {
         long age = nowMillis - mStartedMillis;
         boolean late = age >= mOrder.durationMillis() - TAKE_OVER_MILLIS;
-        boolean probing = age >= mOrder.durationMillis() * PROBE_START_PART;
+        boolean probing = age >= mOrder.durationMillis() - TAKE_OVER_MILLIS - PROBE_MILLIS;
         TrialStage next = mStage;
         if (mProven && late) {
             next = TrialStage.TAKE_OVER;
@@ -234,7 +234,7 @@
         if (!mFault.isEmpty() || phase.filter(p -> p == TrialPhase.ROLLED_BACK).isPresent()) {
             return TrialShare.OLD_ONLY;
         }
-        if (mStage == TrialStage.TAKE_OVER) {
+        if (mStage == TrialStage.TAKE_OVER && mProven) {
             return TrialShare.NEW_FIRST;
         }
         if (!mBound.allows(mSums.newCalls(), mSums.allCalls())) {
--- a/oriolewind-core/src/test/java/org/oriolewind/trial/TrialBookTest.java
+++ b/oriolewind-core/src/test/java/org/oriolewind/trial/TrialBookTest.java
@@ -58,6 +58,23 @@
                 return elapsedMillis < 4000 ? 0.004 : 0.5;
             }
         },
+        AFTER_THE_PROBE {
+            @Override
+            public double failures(long elapsedMillis, int inFlight, String route) {
+                return elapsedMillis < 11_000 ? 0.004 : 0.5;
+            }
+        },
+        SLOW_AFTER_THE_PROBE {
+            @Override
+            public double failures(long elapsedMillis, int inFlight, String route) {
+                return 0.004;
+            }
+
+            @Override
+            public double slowness(long elapsedMillis, int inFlight) {
+                return elapsedMillis < 11_000 ? 1 : 8;
+            }
+        },
         LATE_AND_SLOW {
             @Override
             public double failures(long elapsedMillis, int inFlight, String route) {
