Probe a version again that is not proven any more in the take-over

Found by reading: a version whose evidence turned open in the middle of the take-over fell back to its small share and was never probed again, so that it could be neither completed nor taken back. The stage goes back to the probe now, and the take-over begins anew with its whole time. versionThatIsNotProvenAnyMoreIsProbedAgain fails before (no probe).

--- a/oriolewind-core/src/main/java/org/oriolewind/trial/Trial.java
+++ b/oriolewind-core/src/main/java/org/oriolewind/trial/Trial.java
@@ -183,9 +183,9 @@
         boolean late = age >= mOrder.durationMillis() - TAKE_OVER_MILLIS;
         boolean probing = age >= mOrder.durationMillis() - TAKE_OVER_MILLIS - PROBE_MILLIS;
         TrialStage next = mStage;
-        if (mProven && late) {
+        if (late && mProven) {
             next = TrialStage.TAKE_OVER;
-        } else if (probing && mStage == TrialStage.COMPARE) {
+        } else if (probing) {
             next = TrialStage.PROBE;
         }
         if (next != mStage) {
@@ -220,9 +220,7 @@
             return Optional.of(TrialPhase.ROLLED_BACK);
         }
         boolean borne =
-                mStage == TrialStage.TAKE_OVER
-                        && mProven
-                        && nowMillis - mTakeOverSinceMillis >= BEAR_MILLIS;
+                mStage == TrialStage.TAKE_OVER && nowMillis - mTakeOverSinceMillis >= BEAR_MILLIS;
         return borne ? Optional.of(TrialPhase.COMPLETED) : Optional.empty();
     }
 
@@ -234,7 +232,7 @@
         if (!mFault.isEmpty() || phase.filter(p -> p == TrialPhase.ROLLED_BACK).isPresent()) {
             return TrialShare.OLD_ONLY;
         }
-        if (mStage == TrialStage.TAKE_OVER && mProven) {
+        if (mStage == TrialStage.TAKE_OVER) {
             return TrialShare.NEW_FIRST;
         }
         if (!mBound.allows(mSums.newCalls(), mSums.allCalls())) {
--- a/oriolewind-core/src/main/java/org/oriolewind/trial/TrialStage.java
+++ b/oriolewind-core/src/main/java/org/oriolewind/trial/TrialStage.java
@@ -1,6 +1,6 @@
 package org.oriolewind.trial;
 
-/** How far a trial is, as a node sees it. A stage is left for a later one only. */
+/** How far a trial is, as a node sees it. */
 public enum TrialStage {
     /** The new version gets a small share, spread over its backend servers. */
     COMPARE(1000),
--- a/oriolewind-core/src/test/java/org/oriolewind/trial/TrialBookTest.java
+++ b/oriolewind-core/src/test/java/org/oriolewind/trial/TrialBookTest.java
@@ -3,10 +3,12 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
+import java.util.Set;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -16,6 +18,8 @@
 import org.oriolewind.policy.TrialOrder;
 import org.oriolewind.policy.TrialPhase;
 import org.oriolewind.time.FakeClock;
+import org.oriolewind.wire.BackendEntry;
+import org.oriolewind.wire.BackendPhase;
 import org.oriolewind.wire.EvidenceCount;
 import org.oriolewind.wire.NodeStatus;
 
@@ -181,6 +185,66 @@
         assertTrue(book.counts().isEmpty());
     }
 
+    /** A version that stumbled in the take-over was once neither completed nor probed again. */
+    @Test
+    void versionThatIsNotProvenAnyMoreIsProbedAgain() {
+        Fleet fleet = new Fleet(mClock);
+        fleet.onStatus(newServer());
+        TrialBook book =
+                new TrialBook(
+                        mClock,
+                        new Random(1),
+                        fleet,
+                        new ExposureBound(MAX_SHARE, 10 * MAX_BESIDES),
+                        (service, version, belief, inputs) -> {});
+        book.onOrders(Map.of("s", order("v2", 1, Optional.empty())));
+        count(book, "v1", TrialShare.OLD_ONLY, false, 400);
+        count(book, "v2", TrialShare.PROBE, false, 40);
+        mClock.advanceMillis(TrialModel.DURATION_MILLIS - 1000);
+        fleet.onStatus(newServer());
+        assertTrue(book.judge().isEmpty());
+        assertEquals(TrialShare.NEW_FIRST, book.share("s"));
+
+        count(book, "v2", TrialShare.NEW_FIRST, true, 3);
+        assertTrue(book.judge().isEmpty());
+        Set<TrialShare> shares = new HashSet<>();
+        for (int i = 0; i < 1000; i++) {
+            shares.add(book.share("s"));
+        }
+        assertEquals(Set.of(TrialShare.OLD_ONLY, TrialShare.SAMPLE, TrialShare.PROBE), shares);
+
+        count(book, "v2", TrialShare.PROBE, false, 60);
+        book.judge();
+        assertEquals(TrialShare.NEW_FIRST, book.share("s"));
+        mClock.advanceMillis(500);
+        assertTrue(book.judge().isEmpty());
+        mClock.advanceMillis(500);
+        assertEquals(TrialPhase.COMPLETED, book.judge().get(0).phase());
+    }
+
+    private static void count(
+            TrialBook book, String version, TrialShare share, boolean failed, int calls) {
+        for (int i = 0; i < calls; i++) {
+            book.count("s", version, "r", share, new CallEnd(failed, false, 100_000));
+        }
+    }
+
+    private NodeStatus newServer() {
+        return NodeStatus.newBuilder()
+                .setNode("new")
+                .setIncarnation(1)
+                .setSequence(mClock.monotonicMillis() + 1)
+                .setDataCentre("dc")
+                .setInFlight(2)
+                .setBackend(
+                        BackendEntry.newBuilder()
+                                .setService("s")
+                                .setVersion("v2")
+                                .setPhase(BackendPhase.BACKEND_PHASE_READY)
+                                .setSlots(2))
+                .build();
+    }
+
     /** Counts of a node that ended were once forgotten after 2.5 s, and with them its evidence. */
     @Test
     void countsOfANodeThatEndedStay() {
