--- a/oriolewind-node/src/main/java/org/oriolewind/node/metrics/MetricsText.java
+++ b/oriolewind-node/src/main/java/org/oriolewind/node/metrics/MetricsText.java
@@ -10,6 +10,7 @@
  */
 public final class MetricsText {
     private static final String PREFIX = "oriolewind_";
+    private static final String COUNTER_SUFFIX = "_total";
     private static final double[] QUANTILES = {0.5, 0.9, 0.99};
 
     private MetricsText() {}
@@ -23,7 +24,7 @@
     public static String write(MetricRegistry registry) {
         Lines lines = new Lines();
         registry.getGauges()
-                .forEach((name, gauge) -> lines.add(name, "gauge", gauge.getValue().toString()));
+                .forEach((name, gauge) -> lines.add(name, type(name), gauge.getValue().toString()));
         registry.getCounters()
                 .forEach(
                         (name, counter) ->
@@ -36,6 +37,11 @@
         return lines.mText.toString();
     }
 
+    /** A gauge may show a count that is kept elsewhere; its name tells. */
+    private static String type(String name) {
+        return name.endsWith(COUNTER_SUFFIX) ? "counter" : "gauge";
+    }
+
     private static final class Lines {
         final StringBuilder mText = new StringBuilder();
         private String mLatest = "";
--- a/oriolewind-node/src/test/java/org/oriolewind/node/metrics/MetricsTextTest.java
+++ b/oriolewind-node/src/test/java/org/oriolewind/node/metrics/MetricsTextTest.java
@@ -29,6 +29,9 @@
         String text = MetricsText.write(registry);
         assertTrue(text.contains("oriolewind_event_loop_delay_milliseconds_max 7\n"), text);
         assertTrue(text.contains("# TYPE oriolewind_heap_used_bytes gauge\n"), text);
+        assertTrue(
+                text.contains("# TYPE oriolewind_garbage_collection_milliseconds_total counter\n"),
+                text);
         assertTrue(text.contains("oriolewind_garbage_collection_milliseconds_total "), text);
     }
 }
