--- a/oriolewind-core/src/main/java/org/oriolewind/trial/Trial.java
+++ b/oriolewind-core/src/main/java/org/oriolewind/trial/Trial.java
@@ -42,7 +42,7 @@
     private static final long PROBE_MILLIS = 3500;
 
     /** Calls under load that a verdict rests on: the judge takes some 20 for a gross fault. */
-    static final long MIN_PROBE_CALLS = 40;
+    private static final long MIN_PROBE_CALLS = 40;
 
     /** Rise of the failed share under load that counts: a single server has few calls. */
     private static final double PROBE_FAILURE_HARM = 0.2;
@@ -70,7 +70,7 @@
     private Optional<ProbeChooser.Probe> mProbe = Optional.empty();
     private boolean mProven;
     private long mStartedMillis;
-    private long mTakeOverSinceMillis;
+    private long mStageSinceMillis;
     private String mFault = "";
 
     Trial(TrialOrder order, long startedMillis, ExposureBound bound, TrialLog log) {
@@ -180,17 +180,16 @@
 
     private void moveOn(long nowMillis) {
         long age = nowMillis - mStartedMillis;
-        boolean late = age >= mOrder.durationMillis() - TAKE_OVER_MILLIS;
-        boolean probing = age >= mOrder.durationMillis() - TAKE_OVER_MILLIS - PROBE_MILLIS;
+        long takeOverAge = mOrder.durationMillis() - TAKE_OVER_MILLIS;
         TrialStage next = mStage;
-        if (late && mProven) {
+        if (age >= takeOverAge && mProven) {
             next = TrialStage.TAKE_OVER;
-        } else if (probing) {
+        } else if (age >= takeOverAge - PROBE_MILLIS) {
             next = TrialStage.PROBE;
         }
         if (next != mStage) {
             mStage = next;
-            mTakeOverSinceMillis = nowMillis;
+            mStageSinceMillis = nowMillis;
             believe(next.name(), nowMillis);
         }
     }
@@ -220,7 +219,7 @@
             return Optional.of(TrialPhase.ROLLED_BACK);
         }
         boolean borne =
-                mStage == TrialStage.TAKE_OVER && nowMillis - mTakeOverSinceMillis >= BEAR_MILLIS;
+                mStage == TrialStage.TAKE_OVER && nowMillis - mStageSinceMillis >= BEAR_MILLIS;
         return borne ? Optional.of(TrialPhase.COMPLETED) : Optional.empty();
     }
 
