One reader of known documents, one maker of summaries; the rank of a writer and who depends on a leader in core

Found on reading the change again, behaviour as before. DocumentSpread and DocumentCatchUp each read revision and digest of a status (KnownDocuments); three places made the same sampled histogram (Summaries); MeshNode still counted the rank of a writer (Fleet.rank) and picked who is told the leader's beats, beside the like filter of DocumentSpread.recipients (DocumentSpread.dependents). Tests keep their assertions.

--- a/oriolewind-core/src/main/java/org/oriolewind/placement/Fleet.java
+++ b/oriolewind-core/src/main/java/org/oriolewind/placement/Fleet.java
@@ -129,6 +129,16 @@
         return heard;
     }
 
+    /**
+     * Returns how many members that were heard of lately come before a node by name.
+     *
+     * @param node the node's name
+     * @return its rank, 0 for the first
+     */
+    public int rank(String node) {
+        return (int) heard().stream().filter(m -> m.status().getNode().compareTo(node) < 0).count();
+    }
+
     /**
      * Finds a member.
      *
--- a/oriolewind-core/src/main/java/org/oriolewind/spread/DocumentCatchUp.java
+++ b/oriolewind-core/src/main/java/org/oriolewind/spread/DocumentCatchUp.java
@@ -111,7 +111,7 @@
         if (ahead.isEmpty()) {
             return false;
         }
-        long revision = revision(ahead.get(0), kind);
+        long revision = KnownDocuments.revision(ahead.get(0), kind);
         Lag current = mLags.computeIfAbsent(kind, k -> new Lag(revision, now));
         if (now < current.mDueMillis) {
             return false;
@@ -129,32 +129,29 @@
                         .map(FleetMember::status)
                         .filter(status -> isAhead(status, view, kind))
                         .toList();
-        long most = ahead.stream().mapToLong(s -> revision(s, kind)).max().orElse(0);
+        long most = ahead.stream().mapToLong(s -> KnownDocuments.revision(s, kind)).max().orElse(0);
         Optional<NodeStatus> best =
-                ahead.stream().filter(s -> revision(s, kind) == most).findFirst();
+                ahead.stream().filter(s -> KnownDocuments.revision(s, kind) == most).findFirst();
         if (best.isEmpty()) {
             return List.of();
         }
         List<NodeStatus> same =
-                ahead.stream().filter(s -> digest(s, kind) == digest(best.get(), kind)).toList();
+                ahead.stream()
+                        .filter(
+                                s ->
+                                        KnownDocuments.digest(s, kind)
+                                                == KnownDocuments.digest(best.get(), kind))
+                        .toList();
         List<NodeStatus> near = same.stream().filter(this::isNear).toList();
         return near.isEmpty() ? same : near;
     }
 
     private static boolean isAhead(NodeStatus status, OperatorView view, DocumentKind kind) {
-        return revision(status, kind) > view.revision(kind)
-                && digest(status, kind) != view.digest(kind);
+        return KnownDocuments.revision(status, kind) > view.revision(kind)
+                && KnownDocuments.digest(status, kind) != view.digest(kind);
     }
 
     private boolean isNear(NodeStatus status) {
         return status.getDataCentre().equals(mDataCentre);
     }
-
-    private static long revision(NodeStatus status, DocumentKind kind) {
-        return status.getDocumentRevisionsOrDefault(kind.key(), 0);
-    }
-
-    private static long digest(NodeStatus status, DocumentKind kind) {
-        return status.getDocumentDigestsOrDefault(kind.key(), 0);
-    }
 }
--- a/oriolewind-core/src/main/java/org/oriolewind/spread/DocumentSpread.java
+++ b/oriolewind-core/src/main/java/org/oriolewind/spread/DocumentSpread.java
@@ -25,19 +25,30 @@
      */
     public static List<String> recipients(
             NodeStatus self, OperatorView view, DocumentKind kind, Collection<FleetMember> heard) {
+        return dependents(self, heard).stream()
+                .filter(status -> lacks(status, view, kind))
+                .map(NodeStatus::getPeerAddress)
+                .toList();
+    }
+
+    /**
+     * Returns the nodes that hear of changes from the leader of this node's data centre.
+     *
+     * @param self this node's latest status
+     * @param heard the nodes that were heard of lately
+     * @return their statuses
+     */
+    public static List<NodeStatus> dependents(NodeStatus self, Collection<FleetMember> heard) {
         return heard.stream()
                 .map(FleetMember::status)
                 .filter(status -> !status.getNode().equals(self.getNode()))
                 .filter(status -> status.getDataCentre().equals(self.getDataCentre()))
                 .filter(status -> !status.getFollowsStore())
-                .filter(status -> lacks(status, view, kind))
-                .map(NodeStatus::getPeerAddress)
                 .toList();
     }
 
     private static boolean lacks(NodeStatus status, OperatorView view, DocumentKind kind) {
-        long revision = status.getDocumentRevisionsOrDefault(kind.key(), 0);
-        long digest = status.getDocumentDigestsOrDefault(kind.key(), 0);
-        return revision < view.revision(kind) && digest != view.digest(kind);
+        return KnownDocuments.revision(status, kind) < view.revision(kind)
+                && KnownDocuments.digest(status, kind) != view.digest(kind);
     }
 }
--- a/oriolewind-node/src/main/java/org/oriolewind/node/metrics/ProcessMeters.java
+++ b/oriolewind-node/src/main/java/org/oriolewind/node/metrics/ProcessMeters.java
@@ -3,7 +3,6 @@
 import com.codahale.metrics.Gauge;
 import com.codahale.metrics.Histogram;
 import com.codahale.metrics.MetricRegistry;
-import com.codahale.metrics.UniformReservoir;
 import java.lang.management.GarbageCollectorMXBean;
 import java.lang.management.ManagementFactory;
 
@@ -12,10 +11,7 @@
  * use by several threads.
  */
 public final class ProcessMeters {
-    /** Samples kept of the delay, enough for its 99th percentile. */
-    private static final int SAMPLES = 256;
-
-    private final Histogram mLoopDelayMillis = new Histogram(new UniformReservoir(SAMPLES));
+    private final Histogram mLoopDelayMillis;
 
     /**
      * Creates the metrics.
@@ -24,7 +20,7 @@
      */
     public ProcessMeters(MetricRegistry registry) {
         Runtime runtime = Runtime.getRuntime();
-        registry.register("event_loop_delay_milliseconds", mLoopDelayMillis);
+        mLoopDelayMillis = Summaries.register(registry, "event_loop_delay_milliseconds");
         registry.register(
                 "heap_used_bytes",
                 (Gauge<Long>) () -> runtime.totalMemory() - runtime.freeMemory());
