Stop a daemon after its last accepted connection has ended

Cause: the idle check and the stop of the server were two steps. Change: after the notice to other nodes the connector stops accepting, and the daemon waits for the end of all accepted connections and of all calls before it records its stop.

--- a/oriolewind-node/src/main/java/org/oriolewind/node/Node.java
+++ b/oriolewind-node/src/main/java/org/oriolewind/node/Node.java
@@ -10,6 +10,7 @@
 import java.io.FileOutputStream;
 import java.io.IOException;
 import java.io.OutputStream;
+import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.BooleanSupplier;
@@ -277,13 +278,17 @@
     /**
      * Drains the node, waits for calls in progress and stops all components. Blocks for at least
      * one second, in which other nodes receive the leaving state; calls are not aborted before the
-     * drain timeout.
+     * drain timeout. Connections of callers are accepted for that second, and those accepted are
+     * served until their calls have ended.
      */
     @Override
     public void close() {
         drain();
         mRequestPipeline.beginShutdown();
-        awaitIdle();
+        // Other nodes take a moment to receive the leaving state. Calls that they send meanwhile
+        // are refused as not run and retried on another node.
+        await(LEAVE_NOTICE_MILLIS, () -> false);
+        closeCallerConnections();
         mTransport.close();
         mRequestPipeline.goAway();
         await(LEAVE_NOTICE_MILLIS, mRequestPipeline::areCallLinksClosed);
@@ -297,11 +302,17 @@
         mEvents.close();
     }
 
-    private void awaitIdle() {
-        // Other nodes take a moment to receive the leaving state. Calls that they send meanwhile
-        // are refused as not run and retried on another node.
-        await(LEAVE_NOTICE_MILLIS, () -> false);
-        if (!await(mSettings.drainTimeout().toMillis(), mRequestPipeline::isIdle)) {
+    /**
+     * Closes the server socket for callers, then waits until all of their connections are closed:
+     * busy ones after their answer, idle ones after the connector's shutdown idle timeout.
+     */
+    private void closeCallerConnections() {
+        Future<Void> closed = mCallerServer.getConnectors()[0].shutdown();
+        boolean drained =
+                await(
+                        mSettings.drainTimeout().toMillis(),
+                        () -> closed.isDone() && mRequestPipeline.isIdle());
+        if (!drained) {
             Logger.warn("drain timeout has passed; aborting calls in progress");
         }
     }
--- a/oriolewind-standins/src/test/java/org/oriolewind/standins/LocalMesh.java
+++ b/oriolewind-standins/src/test/java/org/oriolewind/standins/LocalMesh.java
@@ -69,6 +69,10 @@
             int adminPort) {}
 
     RunningNode start(String name, BackendBehaviour behaviour) throws Exception {
+        return start(name, behaviour, "/dev/null");
+    }
+
+    RunningNode start(String name, BackendBehaviour behaviour, String eventFile) throws Exception {
         BackendHandler handler = new BackendHandler(behaviour, mTimer);
         int backendPort = mPorts.next();
         Server backend = BackendStandIn.start(backendPort, handler);
@@ -87,7 +91,7 @@
         addFlag(flags, SettingName.PLATFORM_URL, "http://127.0.0.1:" + mPlatformPort);
         addFlag(flags, SettingName.MAX_BODY_BYTES, "4096");
         addFlag(flags, SettingName.MAX_HEADER_BYTES, "2048");
-        addFlag(flags, SettingName.EVENT_FILE, "/dev/null");
+        addFlag(flags, SettingName.EVENT_FILE, eventFile);
         Options options = new Options();
         for (SettingName setting : SettingName.values()) {
             options.addOption(Option.builder().longOpt(setting.flag()).hasArg().get());
