Reuse no connection to a backend server after a response that names no request

Operators' report: a faulty backend server wrote an earlier refusal once more on a kept connection. It can happen here: refusals come without a request id, and one was taken for the answer to whatever request was in progress. The client was told 'not run' for a request that ran, or an unsafe request was sent to a second backend server.

Change: a response is the request's own (names it), unidentified (a refusal, a health check) or of another request. After an unidentified one the connection is closed; an unidentified one that follows an unexpected response, or that comes before the request is written, leaves the outcome unknown. Weighed: a delay before reuse (guesses), refusing unidentified refusals altogether (each would be 'unknown' to the client).

--- a/oriolewind-node/src/main/java/org/oriolewind/node/http/HttpConnection.java
+++ b/oriolewind-node/src/main/java/org/oriolewind/node/http/HttpConnection.java
@@ -11,8 +11,9 @@
 
 /**
  * One connection to a server, which carries one request at a time. It is closed and not reused
- * after an error, after an unsolicited or malformed response, and after a response that arrived
- * before the request was written. Confined to the event loop.
+ * after an error, after an unsolicited or malformed response, after a response that arrived before
+ * the request was written, and after one that doesn't name its request, since a copy of it could be
+ * taken for the answer to the next request. Confined to the event loop.
  */
 final class HttpConnection extends SimpleChannelInboundHandler<FullHttpResponse> {
     /** Share of the idle timeout stated by the server for which an idle connection is reused. */
@@ -59,14 +60,23 @@
             fail("malformed or unsolicited response");
             return;
         }
-        if (!exchange.matches(response)) {
+        HttpResponseListener.Match match = exchange.match(response);
+        if (match == HttpResponseListener.Match.OTHER) {
             // The response belongs to an earlier exchange; the expected one may still follow.
             mUnexpectedResponse = true;
             return;
         }
+        boolean identified = match == HttpResponseListener.Match.OWN;
+        if (!identified && (mUnexpectedResponse || !mWriteFuture.isDone())) {
+            fail("response without a request id that may belong to an earlier request");
+            return;
+        }
         mExchange = null;
         boolean reusable =
-                !mUnexpectedResponse && HttpUtil.isKeepAlive(response) && mWriteFuture.isDone();
+                identified
+                        && !mUnexpectedResponse
+                        && HttpUtil.isKeepAlive(response)
+                        && mWriteFuture.isDone();
         applyKeepAliveTimeout(response.headers().get("Keep-Alive"));
         exchange.succeed(response);
         if (reusable && mChannel.isActive()) {
--- a/oriolewind-node/src/main/java/org/oriolewind/node/http/HttpExchange.java
+++ b/oriolewind-node/src/main/java/org/oriolewind/node/http/HttpExchange.java
@@ -35,8 +35,8 @@
         mConnection = connection;
     }
 
-    boolean matches(FullHttpResponse response) {
-        return mListener.matches(response);
+    HttpResponseListener.Match match(FullHttpResponse response) {
+        return mListener.match(response);
     }
 
     void abort(boolean timedOut) {
--- a/oriolewind-node/src/main/java/org/oriolewind/node/http/HttpResponseListener.java
+++ b/oriolewind-node/src/main/java/org/oriolewind/node/http/HttpResponseListener.java
@@ -7,13 +7,25 @@
  * {@link #onFailure} is called, exactly once.
  */
 public interface HttpResponseListener {
+    /** How a response relates to the request in progress on its connection. */
+    enum Match {
+        /** It names the request. */
+        OWN,
+        /**
+         * It may answer the request, but doesn't name it. It is accepted only if no earlier
+         * response can be repeated on the connection, which is not reused.
+         */
+        UNIDENTIFIED,
+        /** It belongs to an earlier request. It is dropped, and its connection is not reused. */
+        OTHER
+    }
+
     /**
-     * Returns whether a response belongs to the request. A response that does not is dropped, and
-     * its connection is not reused.
+     * Returns how a response relates to the request.
      *
-     * @return true if it answers the request
+     * @param response a complete response
      */
-    boolean matches(FullHttpResponse response);
+    Match match(FullHttpResponse response);
 
     /**
      * The complete response has arrived.
--- a/oriolewind-node/src/test/java/org/oriolewind/node/http/PooledHttpClientTest.java
+++ b/oriolewind-node/src/test/java/org/oriolewind/node/http/PooledHttpClientTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.netty.buffer.Unpooled;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -32,11 +33,18 @@
 class PooledHttpClientTest {
     private static final String OK = "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: 2\r\n\r\nok";
 
+    /** A refusal that doesn't name the request it answers. */
+    private static final String REFUSAL =
+            "HTTP/1.1 503 Service Unavailable\r\nRefused: 1\r\nContent-Length: 2\r\n\r\nno";
+
     private static final int MAX_RESPONSE_BYTES = 1024 * 1024;
 
     /** The longest response plus what the socket buffers of the connection hold. */
     private static final long MAX_ACCEPTED_BYTES = MAX_RESPONSE_BYTES + 16L * 1024 * 1024;
 
+    /** More than the socket buffers of a connection hold. */
+    private static final int UNWRITABLE_BODY_BYTES = 32 * 1024 * 1024;
+
     private final EventLoopGroup mGroup =
             new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final EventLoop mLoop = mGroup.next();
@@ -66,8 +74,12 @@
         }
 
         @Override
-        public boolean matches(FullHttpResponse response) {
-            return mId.equals(response.headers().get("Id"));
+        public Match match(FullHttpResponse response) {
+            String id = response.headers().get("Id");
+            if (id == null) {
+                return response.headers().contains("Refused") ? Match.UNIDENTIFIED : Match.OTHER;
+            }
+            return mId.equals(id) ? Match.OWN : Match.OTHER;
         }
 
         @Override
@@ -89,8 +101,16 @@
     }
 
     private Cancellable start(String id, long timeoutMillis) {
+        return start(id, timeoutMillis, 0);
+    }
+
+    private Cancellable start(String id, long timeoutMillis, int bodyBytes) {
         return mClient.send(
-                new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/"),
+                new DefaultFullHttpRequest(
+                        HttpVersion.HTTP_1_1,
+                        HttpMethod.GET,
+                        "/",
+                        Unpooled.wrappedBuffer(new byte[bodyBytes])),
                 timeoutMillis,
                 new Listener(id));
     }
@@ -159,6 +179,37 @@
         }
     }
 
+    @Test
+    void connectionIsNotReusedAfterARefusalWithoutRequestId() throws Exception {
+        send("a", 2000);
+        try (Socket socket = mServer.accept()) {
+            readRequest(socket);
+            write(socket, REFUSAL);
+            assertEquals("503 no", outcome());
+            assertEquals(-1, socket.getInputStream().read());
+        }
+    }
+
+    @Test
+    void refusalAfterAnUnexpectedResponseIsNotMatchedToTheRequest() throws Exception {
+        send("a", 2000);
+        try (Socket socket = mServer.accept()) {
+            readRequest(socket);
+            write(socket, String.format(OK, "earlier") + REFUSAL);
+            assertEquals("sent", outcome());
+            assertEquals(-1, socket.getInputStream().read());
+        }
+    }
+
+    @Test
+    void refusalThatPrecedesTheEndOfTheRequestIsNotMatchedToIt() throws Exception {
+        mLoop.execute(() -> start("a", 2000, UNWRITABLE_BODY_BYTES));
+        try (Socket socket = mServer.accept()) {
+            write(socket, REFUSAL);
+            assertEquals("sent", outcome());
+        }
+    }
+
     @ParameterizedTest
     @ValueSource(
             strings = {
