--- a/oriolewind-node/src/main/java/org/oriolewind/node/call/PeerLinks.java
+++ b/oriolewind-node/src/main/java/org/oriolewind/node/call/PeerLinks.java
@@ -24,6 +24,7 @@
 import org.oriolewind.wire.Member;
 import org.oriolewind.wire.NodeStatus;
 import org.oriolewind.wire.NotRunReason;
+import org.tinylog.Logger;
 
 /**
  * Connections of a node to all others: one to each node that it opens itself, for its calls and
@@ -85,10 +86,15 @@
 
     /** A node that this node keeps a connection to. */
     private static final class Peer {
+        final InetSocketAddress mAddress;
         PeerCallLink mLink;
         boolean mStatusSent;
         long mNextDialMillis;
         long mRedialMillis = INITIAL_REDIAL_MILLIS;
+
+        Peer(InetSocketAddress address) {
+            mAddress = address;
+        }
     }
 
     private final Member mSelf;
@@ -170,14 +176,19 @@
     /**
      * Adds the address of another node, to which a connection is maintained from now on.
      *
-     * @param address peer address; empty, known and own addresses are ignored
+     * @param address peer address; known, own and invalid addresses are ignored
      */
     public void addPeer(String address) {
-        if (!address.isEmpty() && !address.equals(mSelf.getPeerAddress())) {
-            if (mPeers.putIfAbsent(address, new Peer()) == null) {
-                dialDue();
-            }
+        if (address.equals(mSelf.getPeerAddress()) || mPeers.containsKey(address)) {
+            return;
+        }
+        Optional<InetSocketAddress> socketAddress = PeerAddress.parseIp(address);
+        if (socketAddress.isEmpty()) {
+            Logger.warn("ignoring a node with the invalid peer address '{}'", address);
+            return;
         }
+        mPeers.put(address, new Peer(socketAddress.get()));
+        dialDue();
     }
 
     /**
@@ -216,20 +227,16 @@
     private void dial(String peerAddress, Peer peer, long now) {
         peer.mNextDialMillis = now + peer.mRedialMillis;
         peer.mRedialMillis = Math.min(MAX_REDIAL_MILLIS, peer.mRedialMillis * 2);
-        Optional<InetSocketAddress> address = PeerAddress.parse(peerAddress);
-        if (address.isPresent()) {
-            peer.mStatusSent = false;
-            peer.mLink =
-                    new PeerCallLink(
-                            peerAddress,
-                            mSelf,
-                            mStamper,
-                            mClock,
-                            MAX_STREAMS,
-                            frame -> onLinkFrame(peerAddress, frame));
-            PeerCallLink link = peer.mLink;
-            link.connect(mTransport, address.get());
-        }
+        peer.mStatusSent = false;
+        peer.mLink =
+                new PeerCallLink(
+                        peerAddress,
+                        mSelf,
+                        mStamper,
+                        mClock,
+                        MAX_STREAMS,
+                        frame -> onLinkFrame(peerAddress, frame));
+        peer.mLink.connect(mTransport, peer.mAddress);
     }
 
     /**
--- a/oriolewind-node/src/main/java/org/oriolewind/node/peer/PeerAddress.java
+++ b/oriolewind-node/src/main/java/org/oriolewind/node/peer/PeerAddress.java
@@ -1,5 +1,6 @@
 package org.oriolewind.node.peer;
 
+import io.netty.util.NetUtil;
 import java.net.InetSocketAddress;
 import java.util.Optional;
 
@@ -32,6 +33,18 @@
         }
     }
 
+    /**
+     * Parses an address whose host is an IP address, so that nothing is resolved.
+     *
+     * @param text IP address and port, joined by a colon
+     * @return the address, or empty if the host is no IP address or the port is not in 1 to 65535
+     */
+    public static Optional<InetSocketAddress> parseIp(String text) {
+        String host = text.substring(0, Math.max(0, text.lastIndexOf(':')));
+        boolean numeric = NetUtil.isValidIpV4Address(host) || NetUtil.isValidIpV6Address(host);
+        return numeric ? parse(text) : Optional.empty();
+    }
+
     /**
      * Formats an address without resolving it.
      *
