--- a/oriolewind-node/src/main/java/org/oriolewind/node/call/PeerLinks.java
+++ b/oriolewind-node/src/main/java/org/oriolewind/node/call/PeerLinks.java
@@ -176,10 +176,11 @@
     /**
      * Adds the address of another node, to which a connection is maintained from now on.
      *
-     * @param address peer address; known, own and invalid addresses are ignored
+     * @param address peer address; empty, known, own and invalid addresses are ignored
      */
     public void addPeer(String address) {
-        if (address.equals(mSelf.getPeerAddress()) || mPeers.containsKey(address)) {
+        boolean known = address.equals(mSelf.getPeerAddress()) || mPeers.containsKey(address);
+        if (known || address.isEmpty()) {
             return;
         }
         Optional<InetSocketAddress> socketAddress = PeerAddress.parseIp(address);
