--- a/oriolewind-node/src/main/java/org/oriolewind/node/call/BackendClient.java
+++ b/oriolewind-node/src/main/java/org/oriolewind/node/call/BackendClient.java
@@ -20,7 +20,12 @@
 import org.oriolewind.wire.CallRequest;
 import org.oriolewind.wire.Header;
 
-/** Forwards calls over HTTP to the backend server beside this node. Thread-safe. */
+/**
+ * Forwards calls over HTTP to the backend server beside this node. Thread-safe.
+ *
+ * <p>Invariant: a connection is not reused after a refusal that doesn't repeat the call's ID, since
+ * a second copy of it could be taken for the answer to the next call.
+ */
 final class BackendClient implements BackendCallSender {
     private static final Set<String> HOP_BY_HOP_HEADERS =
             Set.of(
@@ -67,22 +72,41 @@
             request.body(new BytesRequestContent((String) null, call.getBody().toByteArray()));
         }
         request.timeout(timeoutMillis, TimeUnit.MILLISECONDS);
-        ResponseCollector collector = new ResponseCollector(mMaxBodyBytes, listener);
+        ResponseCollector collector =
+                new ResponseCollector(call.getCallId(), mMaxBodyBytes, listener);
         request.onRequestBegin(r -> collector.mSendStarted = true);
+        request.onResponseSuccess(collector::closeUnlessReusable);
         request.send(collector);
         return () -> request.abort(new java.util.concurrent.CancellationException("cancelled"));
     }
 
     /** Buffers one response and reports it to the listener once it is complete. */
     private static final class ResponseCollector extends BufferingResponseListener {
+        private final String mCallId;
         private final Listener mListener;
         private volatile boolean mSendStarted;
 
-        ResponseCollector(int maxBytes, Listener listener) {
+        ResponseCollector(String callId, int maxBytes, Listener listener) {
             super(maxBytes);
+            mCallId = callId;
             mListener = listener;
         }
 
+        /** Returns whether a response repeats the ID of another call. */
+        private boolean isOfOtherCall(Response response) {
+            String id = response.getHeaders().get(CallHeaders.CALL);
+            return id != null && !id.equals(mCallId);
+        }
+
+        void closeUnlessReusable(Response response) {
+            boolean unidentifiedRefusal =
+                    response.getHeaders().contains(CallHeaders.NOT_RUN)
+                            && !response.getHeaders().contains(CallHeaders.CALL);
+            if (unidentifiedRefusal || isOfOtherCall(response)) {
+                response.getRequest().getConnection().close();
+            }
+        }
+
         @Override
         public void onComplete(Result result) {
             if (result.isSucceeded()) {
@@ -93,6 +117,10 @@
         }
 
         private void onResponse(Response response) {
+            if (isOfOtherCall(response)) {
+                mListener.onFailure(true, false);
+                return;
+            }
             String notRun = response.getHeaders().get(CallHeaders.NOT_RUN);
             if (notRun != null) {
                 mListener.onRefused(notRun.equals(CallHeaders.DRAINING));
