--- a/oriolewind-core/src/main/java/org/oriolewind/dispatch/RoutedRequest.java
+++ b/oriolewind-core/src/main/java/org/oriolewind/dispatch/RoutedRequest.java
@@ -37,18 +37,9 @@
     /** Number of refused attempts after which the request is refused. Each costs a round trip. */
     private static final int MAX_REFUSALS = 4;
 
-    /**
-     * Failure rate of a backend server, in thousandths, above which no retry is sent to it after an
-     * attempt that may have run: the lost work of both attempts burdens the other calls.
-     */
+    /** Failure rate of a backend server, in thousandths, above which no retry is sent to it. */
     private static final int MAX_RETRY_FAILURE_PERMILLE = 200;
 
-    /**
-     * The same limit after a refusal by the backend server, which has cost next to nothing. Above
-     * it the retry would too often be refused as well.
-     */
-    private static final int MAX_RETRY_AFTER_REFUSAL_FAILURE_PERMILLE = 400;
-
     /**
      * Retry delay sent to the client while no backend server is available. The next heartbeat may
      * report one.
@@ -312,14 +303,12 @@
         return mRoute.retrySafety().isIdempotent()
                 && mBackendAttempts < mRoute.maxAttempts()
                 && timeLeftMillis() > 0
-                && hasTargetFailingAtMost(MAX_RETRY_FAILURE_PERMILLE)
+                && selectTarget().filter(RoutedRequest::isHealthy).isPresent()
                 && mContext.retryBudget().tryRetry(mService);
     }
 
-    private boolean hasTargetFailingAtMost(int permille) {
-        return selectTarget()
-                .filter(member -> member.status().getFailurePermille() <= permille)
-                .isPresent();
+    private static boolean isHealthy(FleetMember member) {
+        return member.status().getFailurePermille() <= MAX_RETRY_FAILURE_PERMILLE;
     }
 
     private void onRefusal(FleetMember member, CallAnswer answer) {
@@ -341,8 +330,7 @@
                     // The backend server itself refused, so this counts as an attempt there.
                     case NOT_RUN_REASON_REFUSED_BY_BACKEND ->
                             ++mBackendAttempts < mRoute.maxAttempts()
-                                    && hasTargetFailingAtMost(
-                                            MAX_RETRY_AFTER_REFUSAL_FAILURE_PERMILLE)
+                                    && selectTarget().filter(RoutedRequest::isHealthy).isPresent()
                                     && mContext.retryBudget().tryRetry(mService);
                     default -> mRefusals < MAX_REFUSALS;
                 };
