Gate: refuse a waiting call when its turn will come too late

Change: each tick goes through the queue in the order of admission and refuses what will have too little time left when its turn comes, with a Retry-After by the excess. Test: 40 calls at a gate of 6 slots whose backend server slows from 100 to 600 ms.

--- a/oriolewind-core/src/main/java/org/oriolewind/backend/BackendGate.java
+++ b/oriolewind-core/src/main/java/org/oriolewind/backend/BackendGate.java
@@ -1,6 +1,8 @@
 package org.oriolewind.backend;
 
 import java.util.ArrayList;
+import java.util.Collections;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
 import org.oriolewind.request.Cancellable;
@@ -132,8 +134,7 @@
      * have already done work may depend on them.
      */
     private long latestEndMillis(QueuedCall call, long now) {
-        boolean canMeetTarget = now + mServiceTimes.millis(call.route()) <= call.targetMillis();
-        return canMeetTarget && call.priority() > HIGHEST_PRIORITY
+        return canMeetTarget(call, now) && call.priority() > HIGHEST_PRIORITY
                 ? call.targetMillis()
                 : call.deadlineMillis();
     }
@@ -163,39 +164,43 @@
     }
 
     private long waitMillis(QueuedCall call, long now) {
-        // With all slots taken, one becomes free every mean service time divided by their number.
-        long workMillis = mInFlight < mLimit ? 0 : mWorkInFlightMillis / Math.max(1, mInFlight);
+        Comparator<QueuedCall> order = admissionOrder(now);
+        long workAheadMillis = workUntilFreeSlotMillis();
         int ahead = 0;
         for (QueuedCall waiting : mWaiting) {
-            if (isBefore(waiting, call, now)) {
-                workMillis += mServiceTimes.millis(waiting.route());
+            if (order.compare(waiting, call) <= 0) {
+                workAheadMillis += mServiceTimes.millis(waiting.route());
                 ahead++;
             }
         }
-        long slotWaitMillis = workMillis / mLimit;
-        int position = ahead;
+        return waitMillis(workAheadMillis, ahead, now);
+    }
+
+    /**
+     * Returns the work after which a slot is expected to be free: with all slots taken, one becomes
+     * free every mean service time divided by their number.
+     */
+    private long workUntilFreeSlotMillis() {
+        return mInFlight < mLimit ? 0 : mWorkInFlightMillis / Math.max(1, mInFlight);
+    }
+
+    private long waitMillis(long workAheadMillis, int callsAhead, long now) {
         long rateWaitMillis =
                 mColdPerSecond
-                        .map(rate -> slowStartWaitMillis(now) + position * 1000L / rate)
+                        .map(rate -> slowStartWaitMillis(now) + callsAhead * 1000L / rate)
                         .orElse(0L);
-        return Math.max(slotWaitMillis, rateWaitMillis);
+        return Math.max(workAheadMillis / mLimit, rateWaitMillis);
     }
 
-    /**
-     * Returns whether one call is admitted before another, in the order that the class comment
-     * states.
-     */
-    private boolean isBefore(QueuedCall one, QueuedCall other, long now) {
-        if (one.priority() != other.priority()) {
-            return one.priority() < other.priority();
-        }
-        boolean oneMeetsTarget = now + mServiceTimes.millis(one.route()) <= one.targetMillis();
-        boolean otherMeetsTarget =
-                now + mServiceTimes.millis(other.route()) <= other.targetMillis();
-        if (oneMeetsTarget != otherMeetsTarget) {
-            return oneMeetsTarget;
-        }
-        return one.targetMillis() <= other.targetMillis();
+    /** Returns the order of admission that the class comment states. */
+    private Comparator<QueuedCall> admissionOrder(long now) {
+        return Comparator.comparingInt(QueuedCall::priority)
+                .thenComparing(call -> !canMeetTarget(call, now))
+                .thenComparingLong(QueuedCall::targetMillis);
+    }
+
+    private boolean canMeetTarget(QueuedCall call, long now) {
+        return now + mServiceTimes.millis(call.route()) <= call.targetMillis();
     }
 
     private void admit(QueuedCall call, long now) {
@@ -213,12 +218,7 @@
                 scheduleAdmission(waitMillis);
                 return;
             }
-            QueuedCall next = mWaiting.get(0);
-            for (QueuedCall waiting : mWaiting) {
-                if (waiting != next && isBefore(waiting, next, now)) {
-                    next = waiting;
-                }
-            }
+            QueuedCall next = Collections.min(mWaiting, admissionOrder(now));
             mWaiting.remove(next);
             if (hasTimeToRun(next, now)) {
                 admit(next, now);
@@ -263,19 +263,38 @@
     }
 
     /**
-     * Refuses waiting calls that have too little time left before their deadline, and admits
-     * others. Must be called several times a second.
+     * Refuses waiting calls that will have too little time left when their turn comes, and admits
+     * others. The wait that a call was accepted with grows when the backend server slows down or
+     * calls of a higher priority arrive. Must be called several times a second.
      */
     public void tick() {
         long now = mClock.monotonicMillis();
-        for (QueuedCall call : new ArrayList<>(mWaiting)) {
-            if (!hasTimeToRun(call, now) && mWaiting.remove(call)) {
-                call.onRefused(NotRunReason.NOT_RUN_REASON_EXPIRED, 0);
+        List<QueuedCall> ordered = new ArrayList<>(mWaiting);
+        ordered.sort(admissionOrder(now));
+        long workAheadMillis = workUntilFreeSlotMillis();
+        int ahead = 0;
+        for (QueuedCall call : ordered) {
+            long startMillis = now + waitMillis(workAheadMillis, ahead, now);
+            if (hasTimeToRun(call, startMillis)) {
+                workAheadMillis += mServiceTimes.millis(call.route());
+                ahead++;
+            } else if (mWaiting.remove(call)) {
+                refuseHopeless(call, now, startMillis);
             }
         }
         admitWaiting();
     }
 
+    private void refuseHopeless(QueuedCall call, long now, long startMillis) {
+        if (hasTimeToRun(call, now)) {
+            long excessMillis =
+                    startMillis + mServiceTimes.millis(call.route()) - call.deadlineMillis();
+            call.onRefused(NotRunReason.NOT_RUN_REASON_OVERLOADED, Math.max(1, excessMillis));
+        } else {
+            call.onRefused(NotRunReason.NOT_RUN_REASON_EXPIRED, 0);
+        }
+    }
+
     /** Returns the maximum number of calls in flight. */
     public int limit() {
         return mLimit;
--- a/oriolewind-core/src/test/java/org/oriolewind/backend/BackendGateTest.java
+++ b/oriolewind-core/src/test/java/org/oriolewind/backend/BackendGateTest.java
@@ -150,6 +150,46 @@
         assertTrue(mRefused.stream().noneMatch(r -> r.startsWith("short")), mRefused.toString());
     }
 
+    /**
+     * The backend server slows down while many calls wait, as when others of its service leave.
+     * Most of those that will not be served in time are refused when the first answers show it, and
+     * not when their deadline is near.
+     */
+    @Test
+    void waitingCallsThatBecomeHopelessAreRefusedAtOnce() {
+        long slowMillis = 600;
+        open(6);
+        List<Long> waitedMillis = new ArrayList<>();
+        long start = mClock.monotonicMillis();
+        for (int i = 0; i < 40; i++) {
+            mGate.enter(
+                    new Call("c" + i, 50, 1200, 2) {
+                        @Override
+                        public void onAdmitted() {
+                            mAdmitted.add(mName);
+                            mTimers.schedule(
+                                    slowMillis,
+                                    () -> mGate.leave("r", Optional.of(slowMillis * 1000)));
+                        }
+
+                        @Override
+                        public void onRefused(NotRunReason reason, long retryAfterMillis) {
+                            waitedMillis.add(mClock.monotonicMillis() - start);
+                        }
+                    });
+        }
+        waitedMillis.clear();
+        for (int i = 0; i < 20; i++) {
+            mTimers.advance(100);
+            mGate.tick();
+        }
+        assertTrue(mAdmitted.size() >= 12, "admitted " + mAdmitted.size());
+        assertTrue(!waitedMillis.isEmpty(), "admitted " + mAdmitted.size());
+        // The first slow answers come after 600 ms, and the next tick 100 ms later.
+        long refusedEarly = waitedMillis.stream().filter(w -> w <= slowMillis + 100).count();
+        assertTrue(refusedEarly * 4 >= waitedMillis.size() * 3, waitedMillis.toString());
+    }
+
     /** Calls arrive as fast as slots become free, with one call more than slots. */
     @Test
     void callIsNotRefusedWhenASlotBecomesFreeInTime() {
