Ping idle links by data centre, so that a silent one is found soon

Now a node pings a link on which nothing was received for 1 s in its data centre, and for 50 ms times the size of the fleet elsewhere, and still closes it 2.5 s after an unanswered ping.

--- a/oriolewind-core/src/main/java/org/oriolewind/loadbalancing/Fleet.java
+++ b/oriolewind-core/src/main/java/org/oriolewind/loadbalancing/Fleet.java
@@ -135,6 +135,15 @@
         return StatusInterval.remoteMillis(mMembers.size());
     }
 
+    /**
+     * Returns the time without frames of a node in another data centre after which it is pinged.
+     *
+     * @return milliseconds
+     */
+    public long remoteIdleMillis() {
+        return StatusInterval.remoteIdleMillis(mMembers.size());
+    }
+
     /** Returns the peer addresses of the nodes in other data centres. */
     public Set<String> remoteAddresses() {
         Set<String> addresses = new HashSet<>();
--- a/oriolewind-core/src/main/java/org/oriolewind/loadbalancing/StatusInterval.java
+++ b/oriolewind-core/src/main/java/org/oriolewind/loadbalancing/StatusInterval.java
@@ -9,7 +9,11 @@
     /** Interval within a data centre. */
     public static final long LOCAL_MILLIS = 1000;
 
+    /** Time without frames of a node in the local data centre after which it is pinged. */
+    public static final long LOCAL_IDLE_MILLIS = 1000;
+
     private static final long REMOTE_MILLIS_PER_NODE = 30;
+    private static final long REMOTE_IDLE_MILLIS_PER_NODE = 50;
     private static final long MAX_REMOTE_MILLIS = 5000;
 
     /** Intervals without a status after which a node counts as unreachable; one may be lost. */
@@ -24,8 +28,21 @@
      * @return milliseconds
      */
     public static long remoteMillis(int nodes) {
-        long scaled = nodes * REMOTE_MILLIS_PER_NODE;
-        return Math.max(LOCAL_MILLIS, Math.min(MAX_REMOTE_MILLIS, scaled));
+        return scaled(nodes * REMOTE_MILLIS_PER_NODE, LOCAL_MILLIS);
+    }
+
+    /**
+     * Returns the time without frames of a node in another data centre after which it is pinged.
+     *
+     * @param nodes size of the fleet
+     * @return milliseconds
+     */
+    public static long remoteIdleMillis(int nodes) {
+        return scaled(nodes * REMOTE_IDLE_MILLIS_PER_NODE, LOCAL_IDLE_MILLIS);
+    }
+
+    private static long scaled(long millis, long minMillis) {
+        return Math.max(minMillis, Math.min(MAX_REMOTE_MILLIS, millis));
     }
 
     /**
--- a/oriolewind-node/src/main/java/org/oriolewind/node/call/PeerCallLink.java
+++ b/oriolewind-node/src/main/java/org/oriolewind/node/call/PeerCallLink.java
@@ -42,9 +42,6 @@
     /** Time without received frames, with calls outstanding, after which a ping is sent. */
     private static final long PING_AFTER_MILLIS = 250;
 
-    /** Time without received frames, with no calls outstanding, after which a ping is sent. */
-    private static final long IDLE_PING_AFTER_MILLIS = 5000;
-
     /** Timeout of the ping; a busy node may take some hundred milliseconds to answer. */
     private static final long PING_TIMEOUT_MILLIS = 400;
 
@@ -228,36 +225,52 @@
         return mUnansweredPingMillis.filter(sent -> now - sent >= PING_TIMEOUT_MILLIS).isEmpty();
     }
 
+    /** Sends a ping to the other node if no frame was received for the given time. */
+    void pingIfIdle(long idleMillis) {
+        PeerConnection connection;
+        synchronized (this) {
+            long now = mClock.monotonicMillis();
+            boolean pinged = mUnansweredPingMillis.isPresent();
+            boolean due = !pinged && now - mLastReceivedMillis >= idleMillis;
+            connection = due && !mClosed ? mConnection : null;
+            if (connection != null) {
+                mUnansweredPingMillis = Optional.of(now);
+            }
+        }
+        if (connection != null) {
+            sendPing(connection);
+        }
+    }
+
+    private void sendPing(PeerConnection connection) {
+        connection.send(mStamper.newFrame().setNodeStatus(NodeStatus.getDefaultInstance()).build());
+    }
+
     /**
-     * Sends a ping to the other node when no frame was received for a while, which is shorter when
-     * calls are outstanding.
+     * Sends a ping to the other node when calls are outstanding and no frame was received for a
+     * while.
      *
-     * @return true if calls are outstanding and the ping has timed out. They stay outstanding,
-     *     because the other node may only be slow
+     * @return true if the ping has timed out. Its calls stay outstanding, because the other node
+     *     may only be slow
      */
     boolean checkPingTimeout() {
         long now = mClock.monotonicMillis();
         synchronized (this) {
             PeerConnection connection = mConnection;
-            if (mClosed || connection == null) {
+            long lastActivityMillis = Math.max(mLastReceivedMillis, mOutstandingSinceMillis);
+            if (mClosed || connection == null || mPendingCalls.isEmpty()) {
                 return false;
             }
-            boolean idle = mPendingCalls.isEmpty();
-            long lastActivityMillis =
-                    idle
-                            ? mLastReceivedMillis
-                            : Math.max(mLastReceivedMillis, mOutstandingSinceMillis);
-            if (now - lastActivityMillis < (idle ? IDLE_PING_AFTER_MILLIS : PING_AFTER_MILLIS)) {
+            if (now - lastActivityMillis < PING_AFTER_MILLIS) {
                 return false;
             }
             if (mLastPingMillis < lastActivityMillis) {
                 mLastPingMillis = now;
                 mUnansweredPingMillis = mUnansweredPingMillis.or(() -> Optional.of(now));
-                connection.send(
-                        mStamper.newFrame().setNodeStatus(NodeStatus.getDefaultInstance()).build());
+                sendPing(connection);
                 return false;
             }
-            if (idle || now - mLastPingMillis < PING_TIMEOUT_MILLIS) {
+            if (now - mLastPingMillis < PING_TIMEOUT_MILLIS) {
                 return false;
             }
         }
--- a/oriolewind-node/src/main/java/org/oriolewind/node/call/PeerLinks.java
+++ b/oriolewind-node/src/main/java/org/oriolewind/node/call/PeerLinks.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 import org.oriolewind.config.InstalledConfig;
 import org.oriolewind.node.peer.PeerAddress;
 import org.oriolewind.node.peer.PeerConnection;
@@ -260,6 +261,22 @@
                 });
     }
 
+    /**
+     * Pings nodes from which nothing was received for a while, so that a connection that has gone
+     * silent is closed and opened anew.
+     *
+     * @param idleMillis time without received frames
+     * @param addresses selects the nodes by their peer addresses
+     */
+    public void pingIdle(long idleMillis, Predicate<String> addresses) {
+        mPeers.forEach(
+                (address, peer) -> {
+                    if (peer.mLink != null && addresses.test(address)) {
+                        peer.mLink.pingIfIdle(idleMillis);
+                    }
+                });
+    }
+
     /**
      * Sends a frame to one node; does nothing if there is no connection to it.
      *
--- a/oriolewind-node/src/test/java/org/oriolewind/node/call/PeerLinksTest.java
+++ b/oriolewind-node/src/test/java/org/oriolewind/node/call/PeerLinksTest.java
@@ -155,12 +155,27 @@
         assertEquals(-1, mSocket.getInputStream().read());
     }
 
+    private void pingIdle(long idleMillis, boolean selected) throws Exception {
+        onLoop(
+                () -> {
+                    mLinks.pingIdle(idleMillis, address -> selected);
+                    return null;
+                });
+    }
+
     @Test
-    void idleLinkIsPingedSeldomAndClosedIfThePingIsUnanswered() throws Exception {
-        tickAfter(4900);
-        tickAfter(200);
+    void idleLinkIsPingedOnceAndClosedIfThePingIsUnanswered() throws Exception {
+        tickAfter(900);
+        pingIdle(1000, true);
+        tickAfter(100);
+        pingIdle(1000, false);
+        broadcast(Set.of());
+        pingIdle(1000, true);
+        pingIdle(1000, true);
+        assertEquals("a", readFrame().getNodeStatus().getNode());
         assertTrue(isPing(readFrame()));
         tickAfter(2600);
+        // A second ping would be read here.
         assertEquals(-1, mSocket.getInputStream().read());
         assertEquals(List.of(), mUnresponsive);
     }
