--- a/oriolewind-core/src/main/java/org/oriolewind/loadbalancing/StatusInterval.java
+++ b/oriolewind-core/src/main/java/org/oriolewind/loadbalancing/StatusInterval.java
@@ -16,6 +16,9 @@
     private static final long REMOTE_IDLE_MILLIS_PER_NODE = 50;
     private static final long MAX_REMOTE_MILLIS = 5000;
 
+    /** Size up to which reports of rollouts are as frequent as their stage asks for. */
+    private static final int SMALL_FLEET_NODES = 32;
+
     /** Intervals without a status after which a node counts as unreachable; one may be lost. */
     private static final double TIMEOUT_INTERVALS = 2.5;
 
@@ -45,6 +48,18 @@
         return Math.max(minMillis, Math.min(MAX_REMOTE_MILLIS, millis));
     }
 
+    /**
+     * Returns the interval between reports of the counts of a rollout. A larger fleet counts as
+     * much in less time, and each report goes to all of its nodes.
+     *
+     * @param millis interval in a small fleet
+     * @param nodes size of the fleet
+     * @return milliseconds
+     */
+    public static long reportMillis(long millis, int nodes) {
+        return millis * Math.max(SMALL_FLEET_NODES, nodes) / SMALL_FLEET_NODES;
+    }
+
     /**
      * Returns the time without a status after which a node counts as unreachable.
      *
