--- a/oriolewind-core/src/main/java/org/oriolewind/loadbalancing/StatusInterval.java
+++ b/oriolewind-core/src/main/java/org/oriolewind/loadbalancing/StatusInterval.java
@@ -2,8 +2,8 @@
 
 /**
  * Intervals between the periodic statuses of a node. Within a data centre it is constant. Nodes
- * elsewhere get them less often the larger the fleet is, up to a limit; a change of state is sent to
- * all at once. Stateless.
+ * elsewhere get them less often the larger the fleet is, up to a limit; a change of state is sent
+ * to all at once. Stateless.
  */
 public final class StatusInterval {
     /** Interval within a data centre. */
