--- a/review/standins/Case.java
+++ b/review/standins/Case.java
@@ -22,6 +22,7 @@
     Path mFolder;
     Record mRecord;
     Store mStore;
+    Store.Front mFront;
 
     /** Plays the case; returns whether the rule held. */
     abstract boolean play() throws Exception;
@@ -31,7 +32,8 @@
         try {
             test.mFolder = Files.createTempDirectory("review");
             test.mRecord = new Record(Path.of(args[0]));
-            test.mStore = new Store(0);
+            test.mStore = new Store();
+            test.mFront = test.mStore.open();
             test.mRecord.line("disruption: " + (test.mTrouble ? "on" : "off"));
             boolean held = test.play();
             test.mRecord.line(held ? "the rule held" : "the rule was broken");
@@ -53,8 +55,13 @@
     }
 
     NodeProcess node(String name, String zone, String service) throws IOException {
+        return node(name, zone, service, mFront);
+    }
+
+    NodeProcess node(String name, String zone, String service, Store.Front front)
+            throws IOException {
         NodeProcess node =
-                new NodeProcess(mRoot, mFolder, mRecord, name, zone, service, mStore.port());
+                new NodeProcess(mRoot, mFolder, mRecord, name, zone, service, front.port());
         mNodes.add(node);
         return node;
     }
--- a/review/standins/Store.java
+++ b/review/standins/Store.java
@@ -12,7 +12,46 @@
  * The platform's store as PROTOCOL.md describes it: objects by kind and name, one revision counter,
  * conditional writes, lists and watches.
  */
-final class Store extends HttpPeer {
+final class Store {
+    /** One address of the store, which may be silent to the machines that call it there. */
+    final class Front extends HttpPeer {
+        private volatile long mSilentUntilNanos = System.nanoTime();
+        private volatile Runnable mAfterStaleRead = () -> {};
+
+        private Front() throws IOException {
+            super(0);
+        }
+
+        /**
+         * Gives no answer here for a time. A connection on which an answer is lost returns nothing
+         * further; other addresses and the operator are still served.
+         */
+        void silence(long millis) {
+            mSilentUntilNanos = System.nanoTime() + millis * 1_000_000;
+        }
+
+        private boolean isSilent() {
+            return System.nanoTime() < mSilentUntilNanos;
+        }
+
+        /** Sets an action that runs once, right after the next stale read was answered. */
+        void setAfterStaleRead(Runnable action) {
+            mAfterStaleRead = action;
+        }
+
+        private void staleReadAnswered() {
+            Runnable action = mAfterStaleRead;
+            mAfterStaleRead = () -> {};
+            action.run();
+        }
+
+        @Override
+        void handle(Message request, Connection connection)
+                throws IOException, InterruptedException {
+            Store.this.handle(request, connection, this);
+        }
+    }
+
     /** One object; spec and status are JSON text. */
     private static final class Item {
         String mKind;
@@ -39,41 +78,10 @@
     private final Map<String, Item> mItems = new TreeMap<>();
     private final List<Event> mEvents = new ArrayList<>();
     private long mRevision = 100;
-    private volatile long mDelayMillis = ANSWER_MILLIS;
-    private volatile boolean mUnavailable;
-    private volatile long mSilentUntilNanos = System.nanoTime();
-    private volatile Runnable mAfterProbe = () -> {};
-
-    Store(int port) throws IOException {
-        super(port);
-    }
-
-    /** Sets how long an answer takes, for a slow store. */
-    void setDelayMillis(long millis) {
-        mDelayMillis = millis;
-    }
-
-    /** Makes the store answer 503 to all nodes; the operator is still served. */
-    synchronized void setUnavailable(boolean unavailable) {
-        mUnavailable = unavailable;
-        notifyAll();
-    }
-
-    /**
-     * Makes the store give the nodes no answer for a time. A connection on which an answer is lost
-     * returns nothing further; the operator is still served.
-     */
-    void silence(long millis) {
-        mSilentUntilNanos = System.nanoTime() + millis * 1_000_000;
-    }
 
-    private boolean isSilent() {
-        return System.nanoTime() < mSilentUntilNanos;
-    }
-
-    /** Sets an action that runs once, right after the next stale read was answered. */
-    void setAfterStaleRead(Runnable action) {
-        mAfterProbe = action;
+    /** Opens an address of the store. */
+    Front open() throws IOException {
+        return new Front();
     }
 
     /** Writes a spec as the operator does. */
@@ -119,17 +127,14 @@
         notifyAll();
     }
 
-    @Override
-    void handle(Message request, Connection connection) throws IOException, InterruptedException {
-        Thread.sleep(mDelayMillis);
-        if (isSilent()) {
+    private void handle(
+            HttpPeer.Message request, HttpPeer.Connection connection, Front front)
+            throws IOException, InterruptedException {
+        Thread.sleep(ANSWER_MILLIS);
+        if (front.isSilent()) {
             drop(connection);
             return;
         }
-        if (mUnavailable) {
-            connection.answer(503, bytes("{}"));
-            return;
-        }
         String target = request.target();
         String query = target.contains("?") ? target.substring(target.indexOf('?') + 1) : "";
         String[] path = target.split("\\?")[0].split("/");
@@ -137,13 +142,11 @@
         switch (request.method()) {
             case "GET" -> {
                 if (query.contains("watch=")) {
-                    watch(kind, number(query, "watch"), number(query, "wait_ms"), connection);
+                    watch(kind, number(query, "watch"), number(query, "wait_ms"), connection, front);
                 } else {
                     list(kind, text(query, "after"), connection);
                     if (query.contains("allow_stale=1")) {
-                        Runnable action = mAfterProbe;
-                        mAfterProbe = () -> {};
-                        action.run();
+                        front.staleReadAnswered();
                     }
                 }
             }
@@ -154,7 +157,7 @@
     }
 
     /** Answers nothing further on a connection until the other side closes it. */
-    private static void drop(Connection connection) throws IOException {
+    private static void drop(HttpPeer.Connection connection) throws IOException {
         while (connection.mSocket.getInputStream().read() >= 0) {
             // What is sent on this connection is not answered.
         }
@@ -175,7 +178,12 @@
         return text.getBytes(StandardCharsets.UTF_8);
     }
 
-    private void watch(String kind, long after, long waitMillis, Connection connection)
+    private void watch(
+            String kind,
+            long after,
+            long waitMillis,
+            HttpPeer.Connection connection,
+            Front front)
             throws IOException, InterruptedException {
         long until = System.nanoTime() + waitMillis * 1_000_000;
         StringBuilder body = new StringBuilder("{\"events\":[");
@@ -188,26 +196,22 @@
                     }
                 }
                 long left = (until - System.nanoTime()) / 1_000_000;
-                if (count > 0 || left <= 0 || mUnavailable) {
+                if (count > 0 || left <= 0) {
                     break;
                 }
                 wait(left);
             }
             body.append("],\"store_revision\":").append(mRevision).append("}");
         }
-        if (mUnavailable) {
-            connection.answer(503, bytes("{}"));
-            return;
-        }
-        Thread.sleep(mDelayMillis);
-        if (isSilent()) {
+        Thread.sleep(ANSWER_MILLIS);
+        if (front.isSilent()) {
             drop(connection);
             return;
         }
         connection.answer(200, bytes(body.toString()), "Content-Type", "application/json");
     }
 
-    private void list(String kind, String after, Connection connection) throws IOException {
+    private void list(String kind, String after, HttpPeer.Connection connection) throws IOException {
         StringBuilder body = new StringBuilder("{\"items\":[");
         synchronized (this) {
             int count = 0;
@@ -250,7 +254,7 @@
         return "null";
     }
 
-    private void create(String kind, String body, Connection connection) throws IOException {
+    private void create(String kind, String body, HttpPeer.Connection connection) throws IOException {
         String name = field(body, "\"name\":\"([^\"]*)\"");
         String answer;
         int status;
@@ -264,7 +268,7 @@
         connection.answer(status, bytes(answer), "Content-Type", "application/json");
     }
 
-    private void replace(String kind, String[] path, String body, Connection connection)
+    private void replace(String kind, String[] path, String body, HttpPeer.Connection connection)
             throws IOException {
         String revision = field(body, "\"revision\":(\\d+)");
         String answer = "{}";
