--- a/review/standins/Upstream.java
+++ b/review/standins/Upstream.java
@@ -66,14 +66,14 @@
             connection.answer(400, new byte[0], "X-Oriolewind-Not-Executed", "1");
             return;
         }
-        if (mSlots.getQueueLength() >= QUEUE) {
-            connection.answer(503, new byte[0], "X-Oriolewind-Not-Executed", "1");
+        if (isFull()) {
+            refuse(connection);
             return;
         }
         String deadline = request.header("X-Oriolewind-Deadline-Ms");
         long leftMillis = deadline == null ? 60_000 : (long) Double.parseDouble(deadline);
         if (!mSlots.tryAcquire(leftMillis, TimeUnit.MILLISECONDS)) {
-            connection.answer(503, new byte[0], "X-Oriolewind-Not-Executed", "1");
+            refuse(connection);
             return;
         }
         try {
@@ -86,6 +86,16 @@
         }
     }
 
+    /** Returns whether the next request is refused. */
+    boolean isFull() {
+        return mSlots.getQueueLength() >= QUEUE;
+    }
+
+    /** Answers that a request was not run. */
+    static void refuse(Connection connection) throws IOException {
+        connection.answer(503, new byte[0], "X-Oriolewind-Not-Executed", "1");
+    }
+
     /** Works on a request and answers it. */
     void run(Message request, String id, Connection connection)
             throws IOException, InterruptedException {
