--- a/review/standins/BrokenOff.java
+++ b/review/standins/BrokenOff.java
@@ -18,9 +18,12 @@
     private static final int CLIENTS = 7;
 
     /** gap_s between the machines that are stopped, one at a time. */
-    private static final long GAP_MILLIS = 1500;
+    private static final long GAP_MILLIS = 2000;
 
-    private static final long PLAYED_MILLIS = 96_000;
+    /** Each machine is stopped this often; before, the processes run for a while. */
+    private static final int ROUNDS = 2;
+
+    private static final long CALM_MILLIS = 33_000;
     private static final long WORK_MILLIS = 1300;
     private static final int DEADLINE_MILLIS = 3000;
 
@@ -68,16 +71,17 @@
                 HttpPeer.thread("client-" + i, () -> client(node));
             }
         }
-        sleep(5000);
-        long end = mRecord.millis() + PLAYED_MILLIS;
-        for (int i = 0; mRecord.millis() < end; i++) {
-            NodeProcess node = mNodes.get(i % NODES);
-            if (mTrouble && mGetsClients.get(node)) {
-                mStops.get(node).add(mRecord.millis());
-                node.stopOnce();
+        for (int round = 0; round < ROUNDS; round++) {
+            sleep(CALM_MILLIS);
+            for (NodeProcess node : mNodes) {
+                if (mTrouble) {
+                    mStops.get(node).add(mRecord.millis());
+                    node.stopOnce();
+                }
+                sleep(GAP_MILLIS);
             }
-            sleep(GAP_MILLIS);
         }
+        sleep(PLANNED_MILLIS);
         mDone = true;
         sleep(TIMEOUT_MILLIS);
         int lost = 0;
