--- a/review/standins/Case.java
+++ b/review/standins/Case.java
@@ -6,6 +6,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.UUID;
+import java.util.stream.Stream;
 
 /**
  * Frame of one case: a store, nodes and upstreams, all ended with the case. Exit status 1 if the
@@ -29,6 +30,8 @@
 
     static void run(Case test, String[] args) {
         int status = 2;
+        // For an end by a signal; halt below doesn't run it.
+        Runtime.getRuntime().addShutdownHook(new Thread(test::end));
         try {
             test.mFolder = Files.createTempDirectory("review");
             test.mRecord = new Record(Path.of(args[0]));
@@ -43,15 +46,28 @@
             System.out.println("the case couldn't run: " + e);
             e.printStackTrace(System.out);
         } finally {
-            for (NodeProcess node : test.mNodes) {
-                try {
-                    node.kill();
-                } catch (InterruptedException e) {
-                    Thread.currentThread().interrupt();
+            test.end();
+        }
+        Runtime.getRuntime().halt(status);
+    }
+
+    /** Ends all nodes and removes their files. */
+    private void end() {
+        try {
+            for (NodeProcess node : mNodes) {
+                node.kill();
+            }
+            try (Stream<Path> files = Files.list(mFolder)) {
+                for (Path file : files.toList()) {
+                    Files.delete(file);
                 }
             }
+            Files.delete(mFolder);
+        } catch (IOException e) {
+            System.out.println("files are left over: " + e);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
         }
-        Runtime.getRuntime().halt(status);
     }
 
     NodeProcess node(String name, String zone, String service) throws IOException {
