--- a/review/standins/StrayRefusal.java
+++ b/review/standins/StrayRefusal.java
@@ -11,14 +11,18 @@
  */
 final class StrayRefusal extends Case {
     private static final int CLIENTS = 4;
-    private static final long PLAYED_MILLIS = 30_000;
+    private static final long PLAYED_MILLIS = 10_000;
+
+    /** for_s of garble. */
+    private static final long SPOILED_MILLIS = 5000;
     private static final int DEADLINE_MILLIS = 1500;
 
-    /** x of garble: one of 20 answers is spoiled, at one upstream of three. */
-    private static final int SPOILED_EACH = 20;
+    /** x of garble: less than 0.03 of the answers are spoiled, at one upstream of three. */
+    private static final int SPOILED_EACH = 34;
 
     private final Queue<Answer> mAnswers = new ConcurrentLinkedQueue<>();
     private volatile boolean mDone;
+    private volatile long mSpoiledUntilMillis;
 
     /** Refuses its first request, as a full upstream does, and repeats that refusal later. */
     private final class Faulty extends Upstream {
@@ -44,7 +48,9 @@
                 throws IOException, InterruptedException {
             int earlier = mOnConnection.get();
             mOnConnection.set(earlier + 1);
-            boolean spoil = mRun.incrementAndGet() % SPOILED_EACH == 0;
+            boolean spoil =
+                    mRecord.millis() < mSpoiledUntilMillis
+                            && mRun.incrementAndGet() % SPOILED_EACH == 0;
             if (mTrouble && earlier > 0 && spoil) {
                 mRecord.line(mId + " writes an earlier refusal before the answer to " + id);
                 refuse(connection);
@@ -84,6 +90,7 @@
                 20_000,
                 () -> order(mNodes.get(0)).status() == 200);
         sleep(4000);
+        mSpoiledUntilMillis = mRecord.millis() + SPOILED_MILLIS;
         List<Thread> clients = new ArrayList<>();
         for (int i = 0; i < CLIENTS * mNodes.size(); i++) {
             NodeProcess node = mNodes.get(i % mNodes.size());
