Ping: an answer within the same millisecond counts

Cause: a ping counted as answered if something was received later than it. An answer within the millisecond of the ping was not later, so no further ping was sent and 650 ms later the node counted as unresponsive. The ping is now unanswered until a frame arrives. Each change is logged, with the age of the ping and the calls outstanding.

Ruled out: delays of the event loop (no warning in the logs of the nodes) and closed links; the test shows the fault with a fake clock and without load.

--- a/oriolewind-node/src/main/java/org/oriolewind/node/call/PeerCallLink.java
+++ b/oriolewind-node/src/main/java/org/oriolewind/node/call/PeerCallLink.java
@@ -22,6 +22,7 @@
 import org.oriolewind.wire.Member;
 import org.oriolewind.wire.NodeStatus;
 import org.oriolewind.wire.NotRunReason;
+import org.tinylog.Logger;
 
 /**
  * One connection that carries calls to another node.
@@ -58,8 +59,8 @@
     private boolean mPeerGoingAway;
     private long mNextStream = 1;
     private long mLastReceivedMillis;
-    private long mLastPingMillis = Long.MIN_VALUE / 2;
     private Optional<Long> mUnansweredPingMillis = Optional.empty();
+    private boolean mPingTimeoutLogged;
     private long mOutstandingSinceMillis;
 
     PeerCallLink(
@@ -216,6 +217,10 @@
 
     private void recordReceived() {
         mLastReceivedMillis = mClock.monotonicMillis();
+        if (mPingTimeoutLogged) {
+            mPingTimeoutLogged = false;
+            Logger.info("node at {} is responsive again", mPeerAddress);
+        }
         mUnansweredPingMillis = Optional.empty();
     }
 
@@ -264,17 +269,28 @@
             if (now - lastActivityMillis < PING_AFTER_MILLIS) {
                 return false;
             }
-            if (mLastPingMillis < lastActivityMillis) {
-                mLastPingMillis = now;
-                mUnansweredPingMillis = mUnansweredPingMillis.or(() -> Optional.of(now));
-                sendPing(connection);
-                return false;
-            }
-            if (now - mLastPingMillis < PING_TIMEOUT_MILLIS) {
-                return false;
+            if (mUnansweredPingMillis.isPresent()) {
+                long unansweredMillis = now - mUnansweredPingMillis.get();
+                logPingTimeout(unansweredMillis);
+                return unansweredMillis >= PING_TIMEOUT_MILLIS;
             }
+            mUnansweredPingMillis = Optional.of(now);
+            sendPing(connection);
+            return false;
+        }
+    }
+
+    private void logPingTimeout(long unansweredMillis) {
+        if (unansweredMillis >= PING_TIMEOUT_MILLIS && !mPingTimeoutLogged) {
+            mPingTimeoutLogged = true;
+            Logger.info(
+                    "node at {} is unresponsive: ping unanswered for {} ms, nothing received for {}"
+                            + " ms, {} calls outstanding",
+                    mPeerAddress,
+                    unansweredMillis,
+                    mClock.monotonicMillis() - mLastReceivedMillis,
+                    mPendingCalls.size());
         }
-        return true;
     }
 
     /** Closes the connection if a ping has been unanswered for the given time. */
--- a/oriolewind-node/src/test/java/org/oriolewind/node/call/PeerLinksTest.java
+++ b/oriolewind-node/src/test/java/org/oriolewind/node/call/PeerLinksTest.java
@@ -8,6 +8,7 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import java.io.DataInputStream;
+import java.io.DataOutputStream;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
@@ -16,6 +17,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.Callable;
+import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -25,12 +27,13 @@
 import org.oriolewind.time.FakeClock;
 import org.oriolewind.wire.CallAnswer;
 import org.oriolewind.wire.CallRequest;
+import org.oriolewind.wire.DocumentSet;
 import org.oriolewind.wire.Frame;
 import org.oriolewind.wire.Member;
 import org.oriolewind.wire.NodeStatus;
 import org.oriolewind.wire.NotRunReason;
 
-/** A link to a node that accepts the connection, reads all frames and never writes one. */
+/** A link to a node that accepts the connection and writes only the frames of the test. */
 class PeerLinksTest {
     private static final int TIMEOUT_MILLIS = 10_000;
     private static final NodeStatus STATUS =
@@ -41,6 +44,7 @@
             new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final List<String> mUnresponsive = new ArrayList<>();
     private final List<CallAnswer> mAnswers = new ArrayList<>();
+    private final Semaphore mDocumentSets = new Semaphore(0);
     private ServerSocket mServer;
     private String mAddress;
     private Socket mSocket;
@@ -99,7 +103,7 @@
 
         @Override
         public void onDocuments(String peer, Frame frame) {
-            // The silent node sends none.
+            mDocumentSets.release();
         }
     }
 
@@ -114,6 +118,21 @@
         return Frame.parseFrom(frame);
     }
 
+    private void writeFrame(Frame frame) throws IOException {
+        DataOutputStream out = new DataOutputStream(mSocket.getOutputStream());
+        out.writeInt(frame.getSerializedSize());
+        frame.writeTo(out);
+        out.flush();
+    }
+
+    /** Answers a ping; returns once the link has received the answer. */
+    private void answerPing() throws Exception {
+        writeFrame(Frame.newBuilder().setNodeStatus(NodeStatus.getDefaultInstance()).build());
+        // Unlike a status, a document set is passed on to the listener.
+        writeFrame(Frame.newBuilder().setDocumentSet(DocumentSet.getDefaultInstance()).build());
+        assertTrue(mDocumentSets.tryAcquire(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS));
+    }
+
     private void tickAfter(long millis) throws Exception {
         mClock.advanceMillis(millis);
         onLoop(
@@ -155,6 +174,22 @@
         assertEquals(-1, mSocket.getInputStream().read());
     }
 
+    /** Guards against calls that are given up although their peer answers each ping at once. */
+    @Test
+    void pingAnsweredWithinTheSameMillisecondIsNotUnanswered() throws Exception {
+        call();
+        assertTrue(readFrame().hasCallRequest());
+        for (int i = 0; i < 3; i++) {
+            tickAfter(250);
+            assertTrue(isPing(readFrame()));
+            answerPing();
+            tickAfter(200);
+        }
+        tickAfter(50);
+        assertTrue(isPing(readFrame()));
+        assertEquals(List.of(), mUnresponsive);
+    }
+
     private void pingIdle(long idleMillis, boolean selected) throws Exception {
         onLoop(
                 () -> {
