Retry beside an unresponsive peer instead of in place of it

Now the attempt stays open while the request is tried elsewhere, the first answer counts, and the other attempt is cancelled then. Still one retry, within max_attempts and the retry budget, for idempotent requests only.

An attempt at an unresponsive peer that turns out as refused no longer counts as run, so that the client is told truthfully that the request was not run.

RoutedRequestTest.safeRequestAtAnUnresponsivePeerIsRetriedOnce asserted the cancellation right after the retry was sent, which is the fault. It now asserts no cancellation then, exactly one at the answer, and no second reply.

--- a/oriolewind-core/src/main/java/org/oriolewind/dispatch/RoutedRequest.java
+++ b/oriolewind-core/src/main/java/org/oriolewind/dispatch/RoutedRequest.java
@@ -24,9 +24,10 @@
  * A request with a matching route, dispatched under the policy that was in force when the request
  * arrived.
  *
- * <p>Invariants: attempts are sequential and at most one is open at a time. A request that is not
- * idempotent is retried only after an answer that proves that it was not run. Exactly one reply is
- * given, or none after a cancellation. Not thread-safe.
+ * <p>Invariants: at most one open attempt awaits a responsive peer; others are open only if their
+ * peers became unresponsive, and the first answer counts. A request that is not idempotent is
+ * retried only after an answer that proves that it was not run. Exactly one reply is given, or none
+ * after a cancellation. Not thread-safe.
  */
 final class RoutedRequest implements Cancellable {
     private static final int SERVER_ERROR = 500;
@@ -65,15 +66,13 @@
     private final long mStartMillis;
     private final long mDeadlineMillis;
     private final Set<String> mTried = new HashSet<>();
+    private final List<Attempt> mOpenAttempts = new ArrayList<>();
     private final List<String> mFailedAttempts = new ArrayList<>();
     private VersionSelection mVersionSelection = VersionSelection.ANY;
-    private Optional<Cancellable> mOpenAttempt = Optional.empty();
-    private Optional<FleetMember> mTarget = Optional.empty();
     private Optional<Cancellable> mTimeout = Optional.empty();
     private Optional<CallAnswer> mServerErrorAnswer = Optional.empty();
     private NotRunReason mLatestRefusal = NotRunReason.NOT_RUN_REASON_UNREACHABLE;
     private long mRetryAfterMillis = NO_BACKEND_RETRY_AFTER_MILLIS;
-    private long mAttemptStartMillis;
     private boolean mMayHaveRun;
     private int mBackendAttempts;
     private int mRefusals;
@@ -120,32 +119,27 @@
         long left = timeLeftMillis();
         if (left <= 0) {
             mLatestRefusal = NotRunReason.NOT_RUN_REASON_EXPIRED;
-            endWithoutAnswer();
+            endUnlessAttemptOpen();
             return;
         }
         Optional<FleetMember> target = selectTarget();
         if (target.isEmpty()) {
-            endWithoutAnswer();
+            endUnlessAttemptOpen();
             return;
         }
         FleetMember member = target.get();
-        mTarget = target;
         String node = member.status().getNode();
         mTried.add(node);
-        mAttemptStartMillis = mContext.clock().monotonicMillis();
-        member.onSent(mAttemptStartMillis);
+        Attempt attempt = new Attempt(member, mContext.clock().monotonicMillis());
+        mOpenAttempts.add(attempt);
+        member.onSent(attempt.startMillis());
         CallRequest call = buildCall(member, left);
-        Consumer<CallAnswer> onAnswer = answer -> onAnswer(member, answer);
-        mOpenAttempt = Optional.empty();
-        int attempt = mTried.size();
+        Consumer<CallAnswer> onAnswer = answer -> onAnswer(attempt, answer);
         Cancellable cancellable =
                 node.equals(mContext.node())
                         ? mContext.localServer().serve(call, onAnswer)
                         : mContext.peers().send(member.status().getPeerAddress(), call, onAnswer);
-        // The answer may have arrived before the call returned and started the next attempt.
-        if (attempt == mTried.size() && !mEnded) {
-            mOpenAttempt = Optional.of(cancellable);
-        }
+        attempt.setCall(cancellable);
     }
 
     private Optional<FleetMember> selectTarget() {
@@ -203,10 +197,12 @@
                 .build();
     }
 
-    private void onAnswer(FleetMember member, CallAnswer answer) {
-        if (mEnded) {
+    private void onAnswer(Attempt attempt, CallAnswer answer) {
+        // An answer to an attempt that was cancelled is dropped.
+        if (!mOpenAttempts.remove(attempt)) {
             return;
         }
+        FleetMember member = attempt.member();
         member.onAnswer(mRoute.name(), answer);
         boolean succeeded =
                 answer.getOutcome() == CallOutcome.CALL_OUTCOME_ANSWERED
@@ -215,9 +211,19 @@
             mFailedAttempts.add(describeAttempt(member, answer));
         }
         switch (answer.getOutcome()) {
-            case CALL_OUTCOME_ANSWERED -> onServerAnswer(member, answer);
-            case CALL_OUTCOME_NOT_RUN -> onRefusal(member, answer);
-            default -> onUnknown(member, answer);
+            case CALL_OUTCOME_ANSWERED -> onServerAnswer(attempt, answer);
+            case CALL_OUTCOME_NOT_RUN -> onRefusal(attempt, answer);
+            default -> onUnknown(attempt, answer);
+        }
+    }
+
+    /**
+     * Counts an attempt that may have run, unless it was counted when its peer failed to answer.
+     */
+    private void countBackendAttempt(Attempt attempt) {
+        mMayHaveRun = true;
+        if (!attempt.isPeerUnresponsive()) {
+            mBackendAttempts++;
         }
     }
 
@@ -246,19 +252,18 @@
     /**
      * Records the outcome of an attempt whose answer is no longer awaited. Without this, the
      * slowest calls of a version would not count at all. An attempt abandoned before the target
-     * latency passed says nothing about the version and is not counted.
+     * latency passed, or at an unresponsive peer, says nothing about the version and is not
+     * counted.
      */
-    private void recordAbandonedAttempt() {
-        long elapsedMillis = mContext.clock().monotonicMillis() - mAttemptStartMillis;
-        if (mOpenAttempt.isEmpty()
-                || mTarget.isEmpty()
-                || elapsedMillis < mRoute.targetLatencyMillis()) {
+    private void recordAbandoned(Attempt attempt) {
+        long elapsedMillis = mContext.clock().monotonicMillis() - attempt.startMillis();
+        if (attempt.isPeerUnresponsive() || elapsedMillis < mRoute.targetLatencyMillis()) {
             return;
         }
-        boolean cold = mTarget.get().status().getBackend().getColdMillis() > 0;
+        boolean cold = attempt.member().status().getBackend().getColdMillis() > 0;
         boolean late = timeLeftMillis() <= 0;
         recordOutcome(
-                mTarget.get(),
+                attempt.member(),
                 new CallMeasurement(late, cold, TimeUnit.MILLISECONDS.toMicros(elapsedMillis)));
     }
 
@@ -276,17 +281,24 @@
         }
     }
 
-    private void onServerAnswer(FleetMember member, CallAnswer answer) {
+    private void onServerAnswer(Attempt attempt, CallAnswer answer) {
+        FleetMember member = attempt.member();
         boolean failed = answer.getStatus() >= SERVER_ERROR;
         recordOutcome(member, failed, answer);
-        mBackendAttempts++;
-        mMayHaveRun = true;
-        if (failed && tryRetry()) {
+        countBackendAttempt(attempt);
+        if (!failed) {
+            end(answered(answer), "answered", member.status().getNode());
+            return;
+        }
+        boolean retry = !isAwaitingResponsivePeer() && tryRetry();
+        if (retry || !mOpenAttempts.isEmpty()) {
             mServerErrorAnswer = Optional.of(answer);
+        }
+        if (retry) {
             retry(member, "answered with status " + answer.getStatus());
-            return;
+        } else if (mOpenAttempts.isEmpty()) {
+            end(answered(answer), "answered", member.status().getNode());
         }
-        end(answered(answer), "answered", member.status().getNode());
     }
 
     private static ClientReply answered(CallAnswer answer) {
@@ -307,12 +319,21 @@
                 && mContext.retryBudget().tryRetry(mService);
     }
 
+    private boolean isAwaitingResponsivePeer() {
+        return !mOpenAttempts.stream().allMatch(Attempt::isPeerUnresponsive);
+    }
+
     private static boolean isHealthy(FleetMember member) {
         return member.status().getFailurePermille() <= MAX_RETRY_FAILURE_PERMILLE;
     }
 
-    private void onRefusal(FleetMember member, CallAnswer answer) {
+    private void onRefusal(Attempt attempt, CallAnswer answer) {
+        FleetMember member = attempt.member();
         NotRunReason reason = answer.getNotRunReason();
+        if (attempt.isPeerUnresponsive()) {
+            // It was counted when its peer failed to answer, but was not run.
+            mBackendAttempts--;
+        }
         mLatestRefusal = reason;
         mRefusals++;
         long now = mContext.clock().monotonicMillis();
@@ -324,59 +345,63 @@
         if (answer.getRetryAfterMillis() > 0) {
             mRetryAfterMillis = answer.getRetryAfterMillis();
         }
-        boolean mayRetry =
-                switch (reason) {
-                    case NOT_RUN_REASON_EXPIRED, NOT_RUN_REASON_CANCELLED -> false;
-                    // The backend server itself refused, so this counts as an attempt there.
-                    case NOT_RUN_REASON_REFUSED_BY_BACKEND ->
-                            ++mBackendAttempts < mRoute.maxAttempts()
-                                    && selectTarget().filter(RoutedRequest::isHealthy).isPresent()
-                                    && mContext.retryBudget().tryRetry(mService);
-                    default -> mRefusals < MAX_REFUSALS;
-                };
-        if (mayRetry) {
+        if (reason == NotRunReason.NOT_RUN_REASON_REFUSED_BY_BACKEND) {
+            // The backend server itself refused, so this counts as an attempt there.
+            mBackendAttempts++;
+        }
+        if (!isAwaitingResponsivePeer() && mayRetryAfter(reason)) {
             retry(member, reason.name());
         } else {
-            endWithoutAnswer();
+            endUnlessAttemptOpen();
         }
     }
 
-    private void onUnknown(FleetMember member, CallAnswer answer) {
+    /** Returns whether a request that was refused may be retried, and charges its budget. */
+    private boolean mayRetryAfter(NotRunReason reason) {
+        return switch (reason) {
+            case NOT_RUN_REASON_EXPIRED, NOT_RUN_REASON_CANCELLED -> false;
+            case NOT_RUN_REASON_REFUSED_BY_BACKEND ->
+                    mBackendAttempts < mRoute.maxAttempts()
+                            && selectTarget().filter(RoutedRequest::isHealthy).isPresent()
+                            && mContext.retryBudget().tryRetry(mService);
+            default -> mRefusals < MAX_REFUSALS;
+        };
+    }
+
+    private void onUnknown(Attempt attempt, CallAnswer answer) {
+        FleetMember member = attempt.member();
         boolean timedOut = timeLeftMillis() <= 0;
         recordOutcome(member, true, answer);
-        mBackendAttempts++;
-        mMayHaveRun = true;
+        countBackendAttempt(attempt);
         if (!timedOut) {
             member.onUnreachable(mContext.clock().monotonicMillis());
-            if (tryRetry()) {
+            if (!isAwaitingResponsivePeer() && tryRetry()) {
                 retry(member, "no complete response");
                 return;
             }
         }
-        endWithoutAnswer();
+        endUnlessAttemptOpen();
     }
 
     /**
-     * Retries the request on another node if the open attempt waits for this unresponsive peer and
-     * the request may be retried.
+     * Retries the request on another node if an open attempt waits for this unresponsive peer and
+     * the request may be retried. The attempt stays open: the peer may only be slow, and the other
+     * nodes may refuse the retry.
      */
     void onPeerUnresponsive(String peerAddress) {
-        boolean waitsForPeer =
-                mOpenAttempt.isPresent()
-                        && mTarget.filter(m -> m.status().getPeerAddress().equals(peerAddress))
-                                .isPresent();
-        if (mEnded
-                || !waitsForPeer
-                || mBackendAttempts + 1 >= mRoute.maxAttempts()
-                || !tryRetry()) {
+        Optional<Attempt> waiting =
+                mOpenAttempts.stream()
+                        .filter(attempt -> !attempt.isPeerUnresponsive())
+                        .filter(attempt -> attempt.isSentTo(peerAddress))
+                        .findFirst();
+        if (waiting.isEmpty() || mBackendAttempts + 1 >= mRoute.maxAttempts() || !tryRetry()) {
             return;
         }
-        FleetMember member = mTarget.get();
-        mOpenAttempt.ifPresent(Cancellable::cancel);
+        Attempt attempt = waiting.get();
+        attempt.onPeerUnresponsive();
         mBackendAttempts++;
-        mMayHaveRun = true;
-        mFailedAttempts.add(member.status().getNode() + ": peer unresponsive");
-        retry(member, "peer unresponsive");
+        mFailedAttempts.add(attempt.member().status().getNode() + ": peer unresponsive");
+        retry(attempt.member(), "peer unresponsive");
     }
 
     private void retry(FleetMember member, String reason) {
@@ -385,13 +410,18 @@
     }
 
     private void onTimeout() {
-        boolean attemptOpen = mOpenAttempt.isPresent();
-        recordAbandonedAttempt();
-        mOpenAttempt.ifPresent(Cancellable::cancel);
-        mMayHaveRun |= attemptOpen;
+        mMayHaveRun |= !mOpenAttempts.isEmpty();
+        mOpenAttempts.forEach(this::recordAbandoned);
         endWithoutAnswer();
     }
 
+    /** Ends the request unless an open attempt may still be answered. */
+    private void endUnlessAttemptOpen() {
+        if (mOpenAttempts.isEmpty()) {
+            endWithoutAnswer();
+        }
+    }
+
     /** Ends the request with the best reply available, as no further attempt is possible. */
     private void endWithoutAnswer() {
         if (mServerErrorAnswer.isPresent()) {
@@ -418,9 +448,16 @@
             return;
         }
         finish(outcome, detail);
+        cancelOpenAttempts();
         mDone.accept(reply);
     }
 
+    private void cancelOpenAttempts() {
+        List<Attempt> open = new ArrayList<>(mOpenAttempts);
+        mOpenAttempts.clear();
+        open.forEach(Attempt::cancel);
+    }
+
     private void finish(String outcome, String detail) {
         mEnded = true;
         mOnFinished.accept(this);
@@ -449,8 +486,8 @@
         if (mEnded) {
             return;
         }
-        recordAbandonedAttempt();
+        mOpenAttempts.forEach(this::recordAbandoned);
         finish("cancelled", "client disconnected");
-        mOpenAttempt.ifPresent(Cancellable::cancel);
+        cancelOpenAttempts();
     }
 }
--- a/oriolewind-core/src/test/java/org/oriolewind/dispatch/RoutedRequestTest.java
+++ b/oriolewind-core/src/test/java/org/oriolewind/dispatch/RoutedRequestTest.java
@@ -220,11 +220,87 @@
         mRouter.onPeerUnresponsive(mSentCalls.get(0).address());
         mRouter.onPeerUnresponsive(mSentCalls.get(0).address());
         assertEquals(2, mSentCalls.size());
-        assertEquals(1, mCancellations);
+        assertEquals(0, mCancellations, "the peer may still answer");
         mRouter.onPeerUnresponsive(mSentCalls.get(1).address());
         assertEquals(2, mSentCalls.size(), "no more backend servers than the route allows");
         answer(1, answered(200));
         assertEquals(1, mReplies.size());
+        assertEquals(1, mCancellations);
+        answer(0, answered(200));
+        assertEquals(1, mReplies.size());
+    }
+
+    /** Guards against giving up a running request before another node has accepted it. */
+    @ParameterizedTest
+    @EnumSource(
+            value = NotRunReason.class,
+            names = {
+                "NOT_RUN_REASON_OVERLOADED",
+                "NOT_RUN_REASON_EXPIRED",
+                "NOT_RUN_REASON_REFUSED_BY_BACKEND"
+            })
+    void requestAtAnUnresponsivePeerIsAwaitedIfItsRetryIsRefused(NotRunReason reason) {
+        installConfig();
+        dispatch(SAFE + "x");
+        mRouter.onPeerUnresponsive(mSentCalls.get(0).address());
+        // The last one is sent to the third node, unless the reason allows no further retry.
+        for (int i = 1; i < mSentCalls.size(); i++) {
+            answer(i, CallAnswers.notRun(reason));
+        }
+        assertEquals(List.of(), mReplies);
+        assertEquals(0, mCancellations);
+        answer(0, answered(200));
+        assertEquals(200, ((ClientReply.Answered) mReplies.get(0)).status());
+    }
+
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void requestAtAnUnresponsivePeerIsAwaitedIfItsRetryFails(boolean answered) {
+        installConfig();
+        dispatch(SAFE + "x");
+        mRouter.onPeerUnresponsive(mSentCalls.get(0).address());
+        answer(1, answered ? answered(500) : CallAnswers.unknown());
+        assertEquals(2, mSentCalls.size());
+        assertEquals(List.of(), mReplies);
+        answer(0, answered(200));
+        assertEquals(200, ((ClientReply.Answered) mReplies.get(0)).status());
+    }
+
+    @Test
+    void answerOfAnUnresponsivePeerCancelsTheRetry() {
+        installConfig();
+        dispatch(SAFE + "x");
+        mRouter.onPeerUnresponsive(mSentCalls.get(0).address());
+        answer(0, answered(200));
+        assertEquals(200, ((ClientReply.Answered) mReplies.get(0)).status());
+        assertEquals(1, mCancellations);
+    }
+
+    @Test
+    void refusalOfAnUnresponsivePeerLeavesTheRetryOpen() {
+        installConfig();
+        dispatch(SAFE + "x");
+        mRouter.onPeerUnresponsive(mSentCalls.get(0).address());
+        answer(0, CallAnswers.notRun(NotRunReason.NOT_RUN_REASON_OVERLOADED));
+        assertEquals(2, mSentCalls.size());
+        assertEquals(List.of(), mReplies);
+        answer(1, CallAnswers.notRun(NotRunReason.NOT_RUN_REASON_EXPIRED));
+        assertInstanceOf(ClientReply.NotRun.class, mReplies.get(0));
+    }
+
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void allOpenAttemptsEndWithTheRequest(boolean clientDisconnects) {
+        installConfig();
+        Cancellable request = dispatch(SAFE + "x");
+        mRouter.onPeerUnresponsive(mSentCalls.get(0).address());
+        if (clientDisconnects) {
+            request.cancel();
+        } else {
+            mTimers.advance(900);
+            assertEquals(List.of(new ClientReply.Unknown(true)), mReplies);
+        }
+        assertEquals(2, mCancellations);
     }
 
     @Test
