Restart: a series of late heartbeats proves nothing

Cause: three heartbeats over more than a period were trusted in place of a health check, although each of them may be late, and although the health check had said that the backend server was leaving. Only a heartbeat that was sent after the start of the node proves anything. That is certain once it arrives later than the longest delay, 10 s, after the start; until then a health check has to confirm the incarnation. Incarnations that started later than the first one are checked as well within that time.

Ruled out: sequence numbers and start times (the late heartbeats were newer than all that the new process knew), and other nodes.

--- a/oriolewind-core/src/main/java/org/oriolewind/backend/BackendCallServer.java
+++ b/oriolewind-core/src/main/java/org/oriolewind/backend/BackendCallServer.java
@@ -35,7 +35,7 @@
     private final BackendCallSender mCallSender;
     private final Supplier<OperatorDocumentCache> mDocuments;
     private final DecayingFailureRate mFailureRate = new DecayingFailureRate();
-    private final FirstHeartbeatVerifier mVerifier;
+    private final StartupHeartbeatVerifier mVerifier;
     private final RequestLog mLog;
     private boolean mShuttingDown;
     private boolean mDataCentreOut;
@@ -52,8 +52,8 @@
      * @param gate admits calls to the backend server
      * @param callSender forwards calls to the backend server
      * @param documents provides the operators' documents
-     * @param verifier confirms the first incarnation of the backend server from which this node
-     *     receives a heartbeat
+     * @param verifier holds back incarnations of the backend server whose heartbeats may have been
+     *     delayed since before the start of this node
      * @param log records calls that end without a complete answer
      */
     public BackendCallServer(
@@ -64,7 +64,7 @@
             BackendGate gate,
             BackendCallSender callSender,
             Supplier<OperatorDocumentCache> documents,
-            FirstHeartbeatVerifier verifier,
+            StartupHeartbeatVerifier verifier,
             RequestLog log) {
         mDataCentre = dataCentre;
         mSlowStartLimit = slowStartLimit;
@@ -141,7 +141,7 @@
                 servicePolicy(heartbeat.orElseThrow())
                         .map(ServicePolicy::healthPath)
                         .filter(p -> !p.isEmpty());
-        mVerifier.update(heartbeat.get(), path);
+        mVerifier.update(heartbeat.get(), mBackendTracker.latestReceivedMillis(), path);
     }
 
     private Optional<ServicePolicy> servicePolicy(BackendHeartbeat heartbeat) {
--- a/oriolewind-core/src/main/java/org/oriolewind/backend/BackendTracker.java
+++ b/oriolewind-core/src/main/java/org/oriolewind/backend/BackendTracker.java
@@ -183,6 +183,15 @@
         return mLatest;
     }
 
+    /**
+     * Returns when the latest heartbeat arrived that was not ignored.
+     *
+     * @return monotonic milliseconds, 0 before the first heartbeat
+     */
+    public long latestReceivedMillis() {
+        return mLastHeartbeatMillis;
+    }
+
     /**
      * Returns the phase of the current incarnation, regardless of missed heartbeats.
      *
--- a/oriolewind-core/src/test/java/org/oriolewind/backend/BackendCallServerTest.java
+++ b/oriolewind-core/src/test/java/org/oriolewind/backend/BackendCallServerTest.java
@@ -41,7 +41,7 @@
                     new BackendGate(mClock, mTimers),
                     this::send,
                     () -> mDocuments,
-                    new FirstHeartbeatVerifier(mClock, 1500, (path, done) -> {}, () -> {}),
+                    new StartupHeartbeatVerifier(mClock, (path, done) -> {}, () -> {}),
                     new NoLog());
     private int mSequence;
 
