Daemon: a response without a length that is reset is not whole

Found with the report that clients got a 200 with a short body, framed as whole. In the product's daemon a response without a length whose connection was reset was passed on as a complete 200: Jetty's end point reports a reset connection as the end of the input. The client's end point now lets the error through, and the outcome of the call is unknown.

A chunked response cut after the header of its last chunk is accepted by Jetty; its body is whole.

Evidence: BackendClientTest.responseWithoutLengthThatIsResetIsIncomplete got 'answer 200' with Jetty's end point, 'unknown' here.

--- a/oriolewind-node/src/main/java/org/oriolewind/node/Node.java
+++ b/oriolewind-node/src/main/java/org/oriolewind/node/Node.java
@@ -15,8 +15,6 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.BooleanSupplier;
 import org.eclipse.jetty.client.HttpClient;
-import org.eclipse.jetty.client.transport.HttpClientTransportOverHTTP;
-import org.eclipse.jetty.io.ClientConnector;
 import org.eclipse.jetty.server.Server;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
 import org.oriolewind.analysis.EvidenceCollector;
@@ -184,16 +182,10 @@
     }
 
     private HttpClient newHttpClient() {
-        ClientConnector connector = new ClientConnector();
-        connector.setSelectors(1);
-        connector.setExecutor(mHttpThreads);
-        HttpClient client = new HttpClient(new HttpClientTransportOverHTTP(connector));
-        client.setExecutor(mHttpThreads);
+        HttpClient client = JettyClientFactory.newClient(mHttpThreads);
         client.setMaxConnectionsPerDestination(mSettings.maxBackendConnections());
-        client.setFollowRedirects(false);
         client.setIdleTimeout(BACKEND_IDLE_MILLIS);
         client.setConnectTimeout(1000);
-        client.setUserAgentField(null);
         return client;
     }
 
--- a/oriolewind-node/src/test/java/org/oriolewind/node/call/BackendClientTest.java
+++ b/oriolewind-node/src/test/java/org/oriolewind/node/call/BackendClientTest.java
@@ -13,6 +13,8 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import org.eclipse.jetty.client.HttpClient;
@@ -21,6 +23,8 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.oriolewind.node.JettyClientFactory;
 import org.oriolewind.request.BackendCallSender;
 import org.oriolewind.wire.CallRequest;
 import org.oriolewind.wire.Header;
@@ -29,9 +33,12 @@
 class BackendClientTest {
     private static final String RESPONSE = "HTTP/1.1 %s\r\n%sContent-Length: 2\r\n\r\nok";
     private static final int TIMEOUT_MILLIS = 5000;
+    private static final int MAX_BODY_BYTES = 1 << 20;
 
     private final BlockingQueue<String> mOutcomes = new LinkedBlockingQueue<>();
-    private final HttpClient mHttpClient = new HttpClient();
+    private final ExecutorService mThreads = Executors.newCachedThreadPool();
+    private final HttpClient mHttpClient =
+            JettyClientFactory.newClient(mThreads);
     private ServerSocket mServer;
     private BackendClient mClient;
 
@@ -40,12 +47,15 @@
         mServer = new ServerSocket(0, 10, InetAddress.getLoopbackAddress());
         mServer.setSoTimeout(TIMEOUT_MILLIS);
         mHttpClient.start();
-        mClient = new BackendClient(mHttpClient, "127.0.0.1:" + mServer.getLocalPort(), 1 << 20);
+        mClient =
+                new BackendClient(
+                        mHttpClient, "127.0.0.1:" + mServer.getLocalPort(), MAX_BODY_BYTES);
     }
 
     @AfterEach
     void close() throws Exception {
         mHttpClient.stop();
+        mThreads.shutdownNow();
         mServer.close();
     }
 
@@ -109,6 +119,39 @@
         }
     }
 
+    /**
+     * Guards against an empty or short body that is passed on as if it were whole. The body of a
+     * chunked response is whole with the header of its last chunk.
+     */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "HTTP/1.1 200 OK\r\nX: y\r\n\r\n",
+                "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+                "HTTP/1.1 200 OK\r\nContent-Length: 12\r\nX: y\r\n\r\n123456789012",
+                "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n"
+            })
+    void responseThatEndsBeforeItsHeadOrBodyIsAFailure(String response) throws Exception {
+        for (int length = 0; length < response.length(); length++) {
+            send("a");
+            try (Socket socket = mServer.accept()) {
+                respond(socket, response.substring(0, length));
+            }
+            assertEquals("unknown", outcome(), "after " + length + " bytes");
+        }
+    }
+
+    @Test
+    void responseWithoutLengthThatIsResetIsIncomplete() throws Exception {
+        send("a");
+        Socket socket = mServer.accept();
+        respond(socket, "HTTP/1.1 200 OK\r\n\r\nhalf");
+        Thread.sleep(100);
+        socket.setSoLinger(true, 0);
+        socket.close();
+        assertEquals("unknown", outcome());
+    }
+
     @Test
     void connectionIsReusedAfterAnAnswer() throws Exception {
         send("a");
--- a/oriolewind-node/src/test/java/org/oriolewind/node/http/PooledHttpClientTest.java
+++ b/oriolewind-node/src/test/java/org/oriolewind/node/http/PooledHttpClientTest.java
@@ -229,6 +229,30 @@
         assertEquals("sent", outcome());
     }
 
+    /** Guards against an empty or short body that is passed on as if it were whole. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "HTTP/1.1 200 OK\r\nId: a\r\n\r\n",
+                "HTTP/1.0 200 OK\r\nId: a\r\n\r\n",
+                "HTTP/1.1 200 OK\nId: a\n\n",
+                "HTTP/1.1 204 No Content\r\nId: a\r\n\r\n",
+                "HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 0\r\n\r\n",
+                "HTTP/1.1 200 OK\r\nContent-Length: 12\r\nId: a\r\n\r\n123456789012",
+                "HTTP/1.1 200 OK\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX: y\r\n\r\n",
+                "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nId: a\r\n\r\n"
+            })
+    void responseThatEndsBeforeItsHeadIsAFailure(String response) throws Exception {
+        for (int length = 0; length < response.length(); length++) {
+            send("a", 2000);
+            try (Socket socket = mServer.accept()) {
+                readRequest(socket);
+                write(socket, response.substring(0, length));
+            }
+            assertEquals("sent", outcome(), "after " + length + " bytes");
+        }
+    }
+
     @Test
     void responseWithoutLengthEndsWithItsConnection() throws Exception {
         send("a", 2000);
