Clients limit the bytes that a server may send after a request

Report of other operators: bytes without end from a faulty backend server filled the memory of the machine that had called it. Here: the product's daemon kept the head of a response without limit, since Jetty has none unless it is set, and endless trailers kept a thread busy. The node on the platform limited heads and bodies, but read interim responses and responses to other requests without end, until the request timed out.

Both clients now count what arrives after a request, and an idle connection on which bytes arrive is closed.

--- a/oriolewind-node/src/main/java/org/oriolewind/node/JettyClientFactory.java
+++ b/oriolewind-node/src/main/java/org/oriolewind/node/JettyClientFactory.java
@@ -12,6 +12,8 @@
 
 /** Creates Jetty clients that limit what a faulty server can make them read. Stateless. */
 public final class JettyClientFactory {
+    private static final int MAX_HEADER_BYTES = 32_768;
+
     private JettyClientFactory() {}
 
     /**
@@ -19,8 +21,10 @@
      * has failed, also if it has no length.
      *
      * @param threads runs the client
+     * @param maxResponseBytes bytes that a server may send after a request, whether or not they
+     *     form a response
      */
-    public static HttpClient newClient(Executor threads) {
+    public static HttpClient newClient(Executor threads, long maxResponseBytes) {
         ClientConnector connector =
                 new ClientConnector() {
                     @Override
@@ -30,13 +34,15 @@
                                 (SocketChannel) channel,
                                 selector,
                                 key,
-                                getScheduler());
+                                getScheduler(),
+                                maxResponseBytes);
                     }
                 };
         connector.setSelectors(1);
         connector.setExecutor(threads);
         HttpClient client = new HttpClient(new HttpClientTransportOverHTTP(connector));
         client.setExecutor(threads);
+        client.setMaxResponseHeadersSize(MAX_HEADER_BYTES);
         client.setFollowRedirects(false);
         client.setUserAgentField(null);
         return client;
--- a/oriolewind-node/src/main/java/org/oriolewind/node/Node.java
+++ b/oriolewind-node/src/main/java/org/oriolewind/node/Node.java
@@ -44,6 +44,9 @@
  * request path and the HTTP servers run on threads of their own. Thread-safe.
  */
 public final class Node implements AutoCloseable {
+    /** Largest response of the platform or the backend server, with its head. */
+    private static final long MAX_RESPONSE_BYTES = 8L * 1024 * 1024;
+
     private static final int PEER_THREADS = 2;
     private static final int HTTP_MAX_THREADS = 12;
     private static final int HTTP_MIN_THREADS = 4;
@@ -182,7 +185,7 @@
     }
 
     private HttpClient newHttpClient() {
-        HttpClient client = JettyClientFactory.newClient(mHttpThreads);
+        HttpClient client = JettyClientFactory.newClient(mHttpThreads, MAX_RESPONSE_BYTES);
         client.setMaxConnectionsPerDestination(mSettings.maxBackendConnections());
         client.setIdleTimeout(BACKEND_IDLE_MILLIS);
         client.setConnectTimeout(1000);
--- a/oriolewind-node/src/main/java/org/oriolewind/node/ResponseEndPoint.java
+++ b/oriolewind-node/src/main/java/org/oriolewind/node/ResponseEndPoint.java
@@ -4,6 +4,7 @@
 import java.nio.ByteBuffer;
 import java.nio.channels.SelectionKey;
 import java.nio.channels.SocketChannel;
+import java.util.concurrent.atomic.AtomicLong;
 import org.eclipse.jetty.io.ManagedSelector;
 import org.eclipse.jetty.io.SocketChannelEndPoint;
 import org.eclipse.jetty.util.BufferUtil;
@@ -11,16 +12,21 @@
 
 /**
  * A connection of a Jetty client. Jetty's own end point takes a reset connection for one that the
- * server has closed, so that a response without a length looks complete. Here it is an error.
- * Thread-safe.
+ * server has closed, so that a response without a length looks complete; and it reads bytes that
+ * form no response without end. Both are errors here. Thread-safe.
  */
 final class ResponseEndPoint extends SocketChannelEndPoint {
+    private final long mMaxResponseBytes;
+    private final AtomicLong mReceivedBytes = new AtomicLong();
+
     ResponseEndPoint(
             SocketChannel channel,
             ManagedSelector selector,
             SelectionKey key,
-            Scheduler scheduler) {
+            Scheduler scheduler,
+            long maxResponseBytes) {
         super(channel, selector, key, scheduler);
+        mMaxResponseBytes = maxResponseBytes;
     }
 
     @Override
@@ -37,9 +43,18 @@
         }
         if (filled > 0) {
             notIdle();
+            if (mReceivedBytes.addAndGet(filled) > mMaxResponseBytes) {
+                throw new IOException("response of more than " + mMaxResponseBytes + " bytes");
+            }
         } else if (filled < 0) {
             shutdownInput();
         }
         return filled;
     }
+
+    @Override
+    public boolean flush(ByteBuffer... buffers) throws IOException {
+        mReceivedBytes.set(0);
+        return super.flush(buffers);
+    }
 }
--- a/oriolewind-node/src/main/java/org/oriolewind/node/http/HttpConnection.java
+++ b/oriolewind-node/src/main/java/org/oriolewind/node/http/HttpConnection.java
@@ -20,6 +20,8 @@
     private static final double USED_IDLE_SHARE = 0.5;
 
     private final Channel mChannel;
+    private final ResponseByteLimiter mByteLimiter;
+    private final long mMaxReceivedBytes;
     private final Consumer<HttpConnection> mOnIdle;
     private final Consumer<HttpConnection> mOnClosed;
     private long mMaxIdleNanos;
@@ -30,10 +32,14 @@
 
     HttpConnection(
             Channel channel,
+            ResponseByteLimiter byteLimiter,
+            long maxReceivedBytes,
             long maxIdleMillis,
             Consumer<HttpConnection> onIdle,
             Consumer<HttpConnection> onClosed) {
         mChannel = channel;
+        mByteLimiter = byteLimiter;
+        mMaxReceivedBytes = maxReceivedBytes;
         mMaxIdleNanos = TimeUnit.MILLISECONDS.toNanos(maxIdleMillis);
         mOnIdle = onIdle;
         mOnClosed = onClosed;
@@ -45,6 +51,7 @@
 
     void send(HttpExchange exchange) {
         mExchange = exchange;
+        mByteLimiter.allow(mMaxReceivedBytes);
         exchange.onSent(this);
         mWriteFuture = mChannel.writeAndFlush(exchange.request());
     }
@@ -81,6 +88,7 @@
         exchange.succeed(response);
         if (reusable && mChannel.isActive()) {
             mIdleSinceNanos = System.nanoTime();
+            mByteLimiter.allow(0);
             mOnIdle.accept(this);
         } else {
             close();
--- a/oriolewind-node/src/main/java/org/oriolewind/node/http/PooledHttpClient.java
+++ b/oriolewind-node/src/main/java/org/oriolewind/node/http/PooledHttpClient.java
@@ -26,6 +26,12 @@
     private static final int MAX_HEADER_BYTES = 32_768;
     private static final int MAX_CHUNK_BYTES = 65_536;
 
+    /**
+     * Bytes accepted for a response by the largest size of its body: chunk headers and late copies
+     * of earlier responses take room as well.
+     */
+    private static final long MAX_OVERHEAD_FACTOR = 2;
+
     /**
      * TCP keepalive detects an unresponsive server after 1 s idle and 2 probes at intervals of 1 s,
      * so within the 3 s that a typical fault lasts.
@@ -134,10 +140,19 @@
 
     private void addHandlers(Channel channel) {
         setKeepAlive(channel);
+        ResponseByteLimiter byteLimiter = new ResponseByteLimiter();
         channel.pipeline()
+                .addLast(byteLimiter)
                 .addLast(new HttpClientCodec(MAX_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES))
                 .addLast(new HttpObjectAggregator(mMaxResponseBytes))
-                .addLast(new HttpConnection(channel, mMaxIdleMillis, this::onIdle, this::onClosed));
+                .addLast(
+                        new HttpConnection(
+                                channel,
+                                byteLimiter,
+                                MAX_HEADER_BYTES + MAX_OVERHEAD_FACTOR * mMaxResponseBytes,
+                                mMaxIdleMillis,
+                                this::onIdle,
+                                this::onClosed));
     }
 
     /**
--- a/oriolewind-node/src/test/java/org/oriolewind/node/call/BackendClientTest.java
+++ b/oriolewind-node/src/test/java/org/oriolewind/node/call/BackendClientTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.google.protobuf.ByteString;
 import java.io.BufferedReader;
@@ -13,6 +14,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.LinkedBlockingQueue;
@@ -35,10 +37,13 @@
     private static final int TIMEOUT_MILLIS = 5000;
     private static final int MAX_BODY_BYTES = 1 << 20;
 
+    /** The longest body plus what the socket buffers of the connection hold. */
+    private static final long MAX_ACCEPTED_BYTES = MAX_BODY_BYTES + 16L * 1024 * 1024;
+
     private final BlockingQueue<String> mOutcomes = new LinkedBlockingQueue<>();
     private final ExecutorService mThreads = Executors.newCachedThreadPool();
     private final HttpClient mHttpClient =
-            JettyClientFactory.newClient(mThreads);
+            JettyClientFactory.newClient(mThreads, 2 * MAX_BODY_BYTES);
     private ServerSocket mServer;
     private BackendClient mClient;
 
@@ -152,6 +157,49 @@
         assertEquals("unknown", outcome());
     }
 
+    /** Guards against bytes without end that fill the memory of the process. */
+    @ParameterizedTest
+    @CsvSource({
+        "'HTTP/1.1 200 OK||', x",
+        "'HTTP/1.1 200 OK|Content-Length: 99999999999||', x",
+        "'HTTP/1.1 200 OK|X: ', x",
+        "'HTTP/1.1 200 OK|', 'X: y|'",
+        "'HTTP/1.1 200 OK|Transfer-Encoding: chunked||', '1|x|'",
+        "'HTTP/1.1 200 OK|Transfer-Encoding: chunked||7fffffff|', x",
+        "'HTTP/1.1 200 OK|Transfer-Encoding: chunked||0|', 'X: y|'",
+        "'HTTP/1.1 200 OK|Transfer-Encoding: chunked||1;', x",
+        "'', x",
+        "'', '|'",
+        "'', 'HTTP/1.1 100 Continue||'"
+    })
+    void endlessResponseIsAborted(String start, String repeated) throws Exception {
+        send("a");
+        byte[] bytes =
+                repeated.replace("|", "\r\n").repeat(8192).getBytes(StandardCharsets.US_ASCII);
+        try (Socket socket = mServer.accept()) {
+            respond(socket, start.replace("|", "\r\n"));
+            CompletableFuture<Long> written =
+                    CompletableFuture.supplyAsync(() -> writeUntilClosed(socket, bytes));
+            assertTrue(
+                    written.get(2 * TIMEOUT_MILLIS, TimeUnit.MILLISECONDS) <= MAX_ACCEPTED_BYTES);
+            assertEquals("unknown", outcome());
+        }
+    }
+
+    private static long writeUntilClosed(Socket socket, byte[] bytes) {
+        long written = 0;
+        try {
+            while (written <= MAX_ACCEPTED_BYTES) {
+                socket.getOutputStream().write(bytes);
+                written += bytes.length;
+            }
+        } catch (IOException e) {
+            // The client has closed the connection.
+            return written;
+        }
+        return written;
+    }
+
     @Test
     void connectionIsReusedAfterAnAnswer() throws Exception {
         send("a");
--- a/oriolewind-node/src/test/java/org/oriolewind/node/http/PooledHttpClientTest.java
+++ b/oriolewind-node/src/test/java/org/oriolewind/node/http/PooledHttpClientTest.java
@@ -319,13 +319,49 @@
         try (Socket socket = mServer.accept()) {
             readRequest(socket);
             write(socket, start);
-            assertTrue(writeUntilClosed(socket) <= MAX_ACCEPTED_BYTES);
+            assertTrue(writeUntilClosed(socket, "x") <= MAX_ACCEPTED_BYTES);
             assertEquals("sent", outcome());
         }
     }
 
-    private static long writeUntilClosed(Socket socket) {
-        byte[] bytes = "x".repeat(65_536).getBytes(StandardCharsets.UTF_8);
+    /** Guards against bytes that belong to no response and are read until the caller closes. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "\r\n",
+                " ",
+                "HTTP/1.1 100 Continue\r\n\r\n",
+                "HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 2\r\n\r\nok",
+                "HTTP/1.1 200 OK\r\n"
+                        + "Id: other\r\n"
+                        + "Transfer-Encoding: chunked\r\n\r\n"
+                        + "1\r\n"
+                        + "x\r\n"
+                        + "0\r\n\r\n"
+            })
+    void endlessBytesThatAreNoResponseAreAborted(String repeated) throws Exception {
+        send("a", 20_000);
+        try (Socket socket = mServer.accept()) {
+            readRequest(socket);
+            assertTrue(writeUntilClosed(socket, repeated) <= MAX_ACCEPTED_BYTES);
+            assertEquals("sent", outcome());
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"\r\n", " ", "HTTP/1.1 100 Continue\r\n\r\n", "x"})
+    void bytesOnAnIdleConnectionCloseIt(String repeated) throws Exception {
+        send("a", 2000);
+        try (Socket socket = mServer.accept()) {
+            readRequest(socket);
+            write(socket, String.format(OK, "a"));
+            assertEquals("200 ok", outcome());
+            assertTrue(writeUntilClosed(socket, repeated) <= MAX_ACCEPTED_BYTES);
+        }
+    }
+
+    private static long writeUntilClosed(Socket socket, String repeated) {
+        byte[] bytes = repeated.repeat(65_536 / repeated.length()).getBytes(StandardCharsets.UTF_8);
         long written = 0;
         try {
             while (written <= MAX_ACCEPTED_BYTES) {
