Planned stop: the shutdown is a deadline for open requests

Report of other operators: requests that came late in the grace of a planned stop were cut without an answer at its end.

Requests during the shutdown now have the time that is left, and are refused as not run if it is less than their route's target latency. Those still open at the end are answered.

--- a/oriolewind-core/src/main/java/org/oriolewind/dispatch/RequestRouter.java
+++ b/oriolewind-core/src/main/java/org/oriolewind/dispatch/RequestRouter.java
@@ -18,8 +18,12 @@
     /** A node that has just started usually has the configuration after this time. */
     private static final long NOT_READY_RETRY_AFTER_MILLIS = 300;
 
+    /** Retry delay while this node shuts down; its clients are moved to other nodes. */
+    private static final long SHUTDOWN_RETRY_AFTER_MILLIS = 300;
+
     private final DispatchContext mContext;
     private final Set<RoutedRequest> mOpenRequests = new LinkedHashSet<>();
+    private long mShutdownMillis = Long.MAX_VALUE;
 
     /**
      * Creates a router without open requests.
@@ -30,6 +34,27 @@
         mContext = context;
     }
 
+    /**
+     * Ends all requests by the time at which this node shuts down: those that are open then get a
+     * reply, and later ones are refused if they are not likely to end before.
+     *
+     * @param shutdownMillis monotonic time at which the last request must have ended
+     */
+    public void beginShutdown(long shutdownMillis) {
+        mShutdownMillis = shutdownMillis - RoutedRequest.ANSWER_GRACE_MILLIS;
+        long leftMillis = shutdownMillis - mContext.clock().monotonicMillis();
+        mContext.timers().schedule(leftMillis, this::endOpenRequests);
+    }
+
+    private void endOpenRequests() {
+        new ArrayList<>(mOpenRequests).forEach(RoutedRequest::abandon);
+    }
+
+    private boolean endsBeforeShutdown(TrafficRoute route) {
+        long now = mContext.clock().monotonicMillis();
+        return now + route.targetLatencyMillis() <= mShutdownMillis;
+    }
+
     /**
      * Dispatches a request under the policy in force. Without a policy the request is refused as
      * not run; without a matching route the reply is {@link ClientReply.NoRoute}.
@@ -54,12 +79,20 @@
             done.accept(new ClientReply.NoRoute());
             return () -> {};
         }
+        if (!endsBeforeShutdown(route.get())) {
+            mContext.log().ended(request, route.get().name(), "refused", () -> "shutting down", 0);
+            done.accept(
+                    new ClientReply.NotRun(
+                            NotRunReason.NOT_RUN_REASON_LEAVING, SHUTDOWN_RETRY_AFTER_MILLIS));
+            return () -> {};
+        }
         RoutedRequest routed =
                 new RoutedRequest(
                         mContext,
                         policy.get().version(),
                         route.get(),
                         request,
+                        mShutdownMillis,
                         done,
                         mOpenRequests::remove);
         mOpenRequests.add(routed);
--- a/oriolewind-core/src/main/java/org/oriolewind/dispatch/RoutedRequest.java
+++ b/oriolewind-core/src/main/java/org/oriolewind/dispatch/RoutedRequest.java
@@ -33,7 +33,7 @@
     private static final int SERVER_ERROR = 500;
 
     /** Time after the deadline for which a peer's answer is still awaited. */
-    private static final long ANSWER_GRACE_MILLIS = 40;
+    static final long ANSWER_GRACE_MILLIS = 40;
 
     /** Number of refused attempts after which the request is refused. Each costs a round trip. */
     private static final int MAX_REFUSALS = 4;
@@ -83,6 +83,7 @@
             long configVersion,
             TrafficRoute route,
             ClientRequest request,
+            long latestDeadlineMillis,
             Consumer<ClientReply> done,
             Consumer<RoutedRequest> onFinished) {
         mContext = context;
@@ -94,7 +95,9 @@
         mService = context.serviceSelector().select(route);
         mStartMillis = context.clock().monotonicMillis();
         long left = request.timeLeftMillis().orElse(route.timeoutMillis());
-        mDeadlineMillis = mStartMillis + Math.min(left, route.timeoutMillis());
+        mDeadlineMillis =
+                Math.min(
+                        latestDeadlineMillis, mStartMillis + Math.min(left, route.timeoutMillis()));
     }
 
     void start() {
@@ -103,7 +106,7 @@
         mTimeout =
                 Optional.of(
                         mContext.timers()
-                                .schedule(timeLeftMillis() + ANSWER_GRACE_MILLIS, this::onTimeout));
+                                .schedule(timeLeftMillis() + ANSWER_GRACE_MILLIS, this::abandon));
         send();
     }
 
@@ -409,7 +412,8 @@
         send();
     }
 
-    private void onTimeout() {
+    /** Ends the request without waiting for open attempts any longer. */
+    void abandon() {
         mMayHaveRun |= !mOpenAttempts.isEmpty();
         mOpenAttempts.forEach(this::recordAbandoned);
         endWithoutAnswer();
--- a/oriolewind-core/src/test/java/org/oriolewind/dispatch/RoutedRequestTest.java
+++ b/oriolewind-core/src/test/java/org/oriolewind/dispatch/RoutedRequestTest.java
@@ -433,6 +433,39 @@
         assertTrue(mReplies.isEmpty());
     }
 
+    /** Guards against requests that are cut without an answer when the process ends. */
+    @ParameterizedTest
+    @ValueSource(strings = {SAFE, UNSAFE})
+    void openRequestIsAnsweredBeforeTheShutdown(String path) {
+        installConfig();
+        dispatch(path);
+        mRouter.beginShutdown(mClock.monotonicMillis() + 500);
+        mTimers.advance(499);
+        assertEquals(List.of(), mReplies);
+        mTimers.advance(1);
+        assertEquals(List.of(new ClientReply.Unknown(false)), mReplies);
+        assertEquals(1, mCancellations);
+    }
+
+    @Test
+    void requestDuringTheShutdownHasTheTimeThatIsLeft() {
+        installConfig();
+        mRouter.beginShutdown(mClock.monotonicMillis() + 700);
+        dispatch(UNSAFE);
+        assertEquals(660, mSentCalls.get(0).request().getTimeoutMillis());
+        answer(0, CallAnswers.notRun(NotRunReason.NOT_RUN_REASON_EXPIRED));
+        assertInstanceOf(ClientReply.NotRun.class, mReplies.get(0));
+    }
+
+    @Test
+    void requestThatIsNotLikelyToEndBeforeTheShutdownIsNotRun() {
+        installConfig();
+        mRouter.beginShutdown(mClock.monotonicMillis() + 500);
+        dispatch(UNSAFE);
+        assertEquals(0, mSentCalls.size());
+        assertInstanceOf(ClientReply.NotRun.class, mReplies.get(0));
+    }
+
     private void startRollout() {
         installConfig();
         mRollouts.onSpecs(Map.of("s", new RolloutSpec("s", "v2", 16_000, 1, 1, Optional.empty())));
