--- a/oriolewind-node/src/test/java/org/oriolewind/node/http/PooledHttpClientTest.java
+++ b/oriolewind-node/src/test/java/org/oriolewind/node/http/PooledHttpClientTest.java
@@ -19,11 +19,15 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -39,6 +43,9 @@
 
     private static final int MAX_RESPONSE_BYTES = 1024 * 1024;
 
+    /** Delay of the event loop that a node logs as a warning. */
+    private static final long MAX_LOOP_DELAY_MILLIS = 300;
+
     /** The longest response plus what the socket buffers of the connection hold. */
     private static final long MAX_ACCEPTED_BYTES = MAX_RESPONSE_BYTES + 16L * 1024 * 1024;
 
@@ -348,6 +355,37 @@
         }
     }
 
+    /** A read of one connection takes up to 1 MB, which is 170,000 chunks to decode. */
+    @Test
+    @Tag("known-red")
+    void endlessSmallChunksDoNotDelayOtherWork() throws Exception {
+        AtomicLong worstDelayMillis = new AtomicLong();
+        long[] latestNanos = {System.nanoTime()};
+        mLoop.scheduleAtFixedRate(
+                () -> {
+                    long now = System.nanoTime();
+                    long millis = TimeUnit.NANOSECONDS.toMillis(now - latestNanos[0]);
+                    worstDelayMillis.accumulateAndGet(millis, Math::max);
+                    latestNanos[0] = now;
+                },
+                10,
+                10,
+                TimeUnit.MILLISECONDS);
+        List<Thread> writers = new ArrayList<>();
+        for (int i = 0; i < 8; i++) {
+            send("a", 20_000);
+            Socket socket = mServer.accept();
+            readRequest(socket);
+            write(socket, "HTTP/1.1 200 OK\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n");
+            writers.add(new Thread(() -> writeUntilClosed(socket, "1\r\nx\r\n")));
+        }
+        writers.forEach(Thread::start);
+        for (Thread writer : writers) {
+            writer.join();
+        }
+        assertTrue(worstDelayMillis.get() < MAX_LOOP_DELAY_MILLIS, worstDelayMillis + " ms");
+    }
+
     @ParameterizedTest
     @ValueSource(strings = {"\r\n", " ", "HTTP/1.1 100 Continue\r\n\r\n", "x"})
     void bytesOnAnIdleConnectionCloseIt(String repeated) throws Exception {
