--- a/oriolewind-core/src/test/java/org/oriolewind/backend/StartupHeartbeatVerifierTest.java
+++ b/oriolewind-core/src/test/java/org/oriolewind/backend/StartupHeartbeatVerifierTest.java
@@ -85,6 +85,13 @@
         assertEquals(6, mChecks.size());
     }
 
+    @Test
+    void heartbeatsThatWereDelayedTogetherDoNotReplaceIt() {
+        isTrustedAfter("a", 10, 7);
+        isTrustedAfter("a", 10, 8);
+        assertFalse(isTrustedAfter("a", 10, 9));
+    }
+
     /** The health check of a ready backend server may fail, or be refused, for a long time. */
     @Test
     void heartbeatThatWasSentAfterTheStartIsTrusted() {
