Log responses that end with their connection, dropped ones, and why an exchange failed

Answered requests write no line; a response that names another request is dropped in silence; a failed exchange says 'connection failed' whether it was reset, malformed or closed on this side.

Tests of the touched classes (PooledHttpClientTest, BackendClientTest, PlatformNodeTest, BackendCallServerTest, RoutedRequestTest) pass.

--- a/oriolewind-core/src/main/java/org/oriolewind/backend/BackendCall.java
+++ b/oriolewind-core/src/main/java/org/oriolewind/backend/BackendCall.java
@@ -119,7 +119,7 @@
     }
 
     @Override
-    public void onFailure(boolean sent, boolean timedOut) {
+    public void onFailure(boolean sent, boolean timedOut, String reason) {
         long micros = serviceMicros();
         boolean slow = timedOut && !mCancelled;
         mCallServer.gate().leave(route(), slow ? Optional.of(micros) : Optional.empty());
@@ -133,7 +133,10 @@
                             (timedOut ? "deadline exceeded" : "connection failed")
                                     + (sent
                                             ? " after the request was sent"
-                                            : " before the request was sent"),
+                                            : " before the request was sent")
+                                    + " ("
+                                    + reason
+                                    + ")",
                             micros / NANOS_PER_MICRO);
         }
         if (sent) {
--- a/oriolewind-core/src/main/java/org/oriolewind/dispatch/RequestLog.java
+++ b/oriolewind-core/src/main/java/org/oriolewind/dispatch/RequestLog.java
@@ -39,4 +39,16 @@
      * @param millis time since the request was forwarded
      */
     void failedLocally(String requestId, String instance, String reason, long millis);
+
+    /**
+     * Records a response of the backend server beside this node that was dropped, or whose bytes
+     * don't show that it is complete.
+     *
+     * @param requestId ID of the request in progress
+     * @param instance the instance ID of the backend server
+     * @param kind what is unusual about the response
+     * @param detail what the response said and how it ended
+     */
+    void unusualResponse(
+            String requestId, String instance, UnusualResponse kind, Supplier<String> detail);
 }
--- a/oriolewind-core/src/main/java/org/oriolewind/request/BackendCallSender.java
+++ b/oriolewind-core/src/main/java/org/oriolewind/request/BackendCallSender.java
@@ -33,8 +33,9 @@
          *
          * @param sent whether any part of the call may have reached the backend server
          * @param timedOut whether the timeout passed
+         * @param reason how the exchange with the backend server ended, for log entries
          */
-        void onFailure(boolean sent, boolean timedOut);
+        void onFailure(boolean sent, boolean timedOut, String reason);
     }
 
     /**
--- a/oriolewind-core/src/main/java/org/oriolewind/request/ServedCall.java
+++ b/oriolewind-core/src/main/java/org/oriolewind/request/ServedCall.java
@@ -119,7 +119,7 @@
     }
 
     @Override
-    public void onFailure(boolean sent, boolean timedOut) {
+    public void onFailure(boolean sent, boolean timedOut, String reason) {
         long micros = serviceMicros();
         if (mCancelled) {
             if (mLeftGate.compareAndSet(false, true)) {
--- a/oriolewind-core/src/test/java/org/oriolewind/backend/BackendCallServerTest.java
+++ b/oriolewind-core/src/test/java/org/oriolewind/backend/BackendCallServerTest.java
@@ -11,6 +11,7 @@
 import org.junit.jupiter.api.Test;
 import org.oriolewind.dispatch.ClientRequest;
 import org.oriolewind.dispatch.RequestLog;
+import org.oriolewind.dispatch.UnusualResponse;
 import org.oriolewind.policy.DocumentKind;
 import org.oriolewind.policy.FakeDecoder;
 import org.oriolewind.policy.OperatorDocumentCache;
@@ -70,6 +71,12 @@
         public void failedLocally(String requestId, String instance, String reason, long millis) {
             // The tests check the answers instead.
         }
+
+        @Override
+        public void unusualResponse(
+                String requestId, String instance, UnusualResponse kind, Supplier<String> detail) {
+            // The backend servers of these tests answer as they should.
+        }
     }
 
     private Cancellable send(
--- a/oriolewind-core/src/test/java/org/oriolewind/dispatch/RoutedRequestTest.java
+++ b/oriolewind-core/src/test/java/org/oriolewind/dispatch/RoutedRequestTest.java
@@ -89,6 +89,12 @@
         public void failedLocally(String requestId, String instance, String reason, long millis) {
             // No call reaches a local backend server in these tests.
         }
+
+        @Override
+        public void unusualResponse(
+                String requestId, String instance, UnusualResponse kind, Supplier<String> detail) {
+            // The backend servers of these tests answer as they should.
+        }
     }
 
     @BeforeEach
--- a/oriolewind-core/src/test/java/org/oriolewind/request/FakeCallNetwork.java
+++ b/oriolewind-core/src/test/java/org/oriolewind/request/FakeCallNetwork.java
@@ -171,11 +171,11 @@
     /** Simulates a backend server that may fail before, during or after a call. */
     private Cancellable backend(CallRequest call, BackendCallSender.Listener listener) {
         if (fault()) {
-            after(1, () -> listener.onFailure(false, false));
+            after(1, () -> listener.onFailure(false, false, "refused"));
         } else if (fault()) {
             after(1, () -> listener.onRefused(mRandom.nextBoolean()));
         } else if (fault()) {
-            after(5, () -> listener.onFailure(true, mRandom.nextBoolean()));
+            after(5, () -> listener.onFailure(true, mRandom.nextBoolean(), "reset"));
         } else {
             after(1 + mRandom.nextInt(10), () -> runCall(call, listener));
         }
@@ -186,7 +186,7 @@
         mRuns.merge(call.getCallId(), 1, Integer::sum);
         if (fault()) {
             // The call ran, but its response is lost in whole or in part.
-            listener.onFailure(true, false);
+            listener.onFailure(true, false, "reset");
             return;
         }
         int status = fault() ? 500 : 200;
--- a/oriolewind-node/src/main/java/org/oriolewind/node/call/BackendClient.java
+++ b/oriolewind-node/src/main/java/org/oriolewind/node/call/BackendClient.java
@@ -113,12 +113,15 @@
                 onResponse(result.getResponse());
                 return;
             }
-            mListener.onFailure(mSendStarted, result.getFailure() instanceof TimeoutException);
+            mListener.onFailure(
+                    mSendStarted,
+                    result.getFailure() instanceof TimeoutException,
+                    String.valueOf(result.getFailure()));
         }
 
         private void onResponse(Response response) {
             if (isOfOtherCall(response)) {
-                mListener.onFailure(true, false);
+                mListener.onFailure(true, false, "response names another call");
                 return;
             }
             String notRun = response.getHeaders().get(CallHeaders.NOT_RUN);
--- a/oriolewind-node/src/main/java/org/oriolewind/node/http/HttpConnection.java
+++ b/oriolewind-node/src/main/java/org/oriolewind/node/http/HttpConnection.java
@@ -85,7 +85,11 @@
                         && HttpUtil.isKeepAlive(response)
                         && mWriteFuture.isDone();
         applyKeepAliveTimeout(response.headers().get("Keep-Alive"));
-        exchange.succeed(response);
+        exchange.succeed(
+                response,
+                mChannel.isActive()
+                        ? HttpResponseListener.End.MESSAGE
+                        : HttpResponseListener.End.CONNECTION);
         if (reusable && mChannel.isActive()) {
             mIdleSinceNanos = System.nanoTime();
             mByteLimiter.allow(0);
--- a/oriolewind-node/src/main/java/org/oriolewind/node/http/HttpExchange.java
+++ b/oriolewind-node/src/main/java/org/oriolewind/node/http/HttpExchange.java
@@ -59,10 +59,10 @@
         }
     }
 
-    void succeed(FullHttpResponse response) {
+    void succeed(FullHttpResponse response, HttpResponseListener.End end) {
         if (!mEnded) {
             end();
-            mListener.onResponse(response);
+            mListener.onResponse(response, end);
         }
     }
 
--- a/oriolewind-node/src/main/java/org/oriolewind/node/http/HttpResponseListener.java
+++ b/oriolewind-node/src/main/java/org/oriolewind/node/http/HttpResponseListener.java
@@ -27,12 +27,21 @@
      */
     Match match(FullHttpResponse response);
 
+    /** What showed that a response is complete. */
+    enum End {
+        /** Its own framing: a length, the last chunk, or a status without a body. */
+        MESSAGE,
+        /** The end of the connection, as it has no length. */
+        CONNECTION
+    }
+
     /**
      * The complete response has arrived.
      *
      * @param response the response, which the client releases afterwards
+     * @param end what showed that it is complete
      */
-    void onResponse(FullHttpResponse response);
+    void onResponse(FullHttpResponse response, End end);
 
     /**
      * The exchange ended without a complete response.
--- a/oriolewind-node/src/test/java/org/oriolewind/node/call/BackendClientTest.java
+++ b/oriolewind-node/src/test/java/org/oriolewind/node/call/BackendClientTest.java
@@ -77,7 +77,7 @@
         }
 
         @Override
-        public void onFailure(boolean sent, boolean timedOut) {
+        public void onFailure(boolean sent, boolean timedOut, String reason) {
             mOutcomes.add(sent ? "unknown" : "unsent");
         }
     }
--- a/oriolewind-node/src/test/java/org/oriolewind/node/http/PooledHttpClientTest.java
+++ b/oriolewind-node/src/test/java/org/oriolewind/node/http/PooledHttpClientTest.java
@@ -90,7 +90,7 @@
         }
 
         @Override
-        public void onResponse(FullHttpResponse response) {
+        public void onResponse(FullHttpResponse response, End end) {
             mOutcomes.add(
                     response.status().code()
                             + " "
