A response without a length is whole only if the server ended the connection

Cause: the kernel reports the reset once, to whichever call comes first. If that is the pending write, Netty closes the channel; the error reaches only the write's future. The decoder behind takes any end of the channel for the end of such a response. The same happens on every other close on this side, for instance when the event loop shuts down (class: an end that didn't come from the peer taken for its end of message).

Change: with half-closure enabled, the end of the server's output is an event of its own. ConnectionEndDetector stands before the decoder and raises an exception before any end that is not that event, so that the exchange has failed when the decoder delivers the rest. No case depends on the kind of failure, the size or the writer. A response that ended with its connection never makes it reusable.

--- a/oriolewind-node/src/main/java/org/oriolewind/node/http/HttpConnection.java
+++ b/oriolewind-node/src/main/java/org/oriolewind/node/http/HttpConnection.java
@@ -4,6 +4,7 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpUtil;
 import java.util.concurrent.TimeUnit;
@@ -20,6 +21,7 @@
     private static final double USED_IDLE_SHARE = 0.5;
 
     private final Channel mChannel;
+    private final ConnectionEndDetector mEndDetector;
     private final ResponseByteLimiter mByteLimiter;
     private final long mMaxReceivedBytes;
     private final Consumer<HttpConnection> mOnIdle;
@@ -32,12 +34,14 @@
 
     HttpConnection(
             Channel channel,
+            ConnectionEndDetector endDetector,
             ResponseByteLimiter byteLimiter,
             long maxReceivedBytes,
             long maxIdleMillis,
             Consumer<HttpConnection> onIdle,
             Consumer<HttpConnection> onClosed) {
         mChannel = channel;
+        mEndDetector = endDetector;
         mByteLimiter = byteLimiter;
         mMaxReceivedBytes = maxReceivedBytes;
         mMaxIdleNanos = TimeUnit.MILLISECONDS.toNanos(maxIdleMillis);
@@ -83,13 +87,14 @@
                 identified
                         && !mUnexpectedResponse
                         && HttpUtil.isKeepAlive(response)
+                        && !mEndDetector.isEndedByServer()
                         && mWriteFuture.isDone();
         applyKeepAliveTimeout(response.headers().get("Keep-Alive"));
         exchange.succeed(
                 response,
-                mChannel.isActive()
-                        ? HttpResponseListener.End.MESSAGE
-                        : HttpResponseListener.End.CONNECTION);
+                mEndDetector.isEndedByServer()
+                        ? HttpResponseListener.End.CONNECTION
+                        : HttpResponseListener.End.MESSAGE);
         if (reusable && mChannel.isActive()) {
             mIdleSinceNanos = System.nanoTime();
             mByteLimiter.allow(0);
@@ -118,6 +123,12 @@
         }
     }
 
+    /** Returns why the connection failed; a write that failed comes before its consequences. */
+    private String describeFailure(Throwable cause) {
+        Throwable writeFailure = mWriteFuture == null ? null : mWriteFuture.cause();
+        return writeFailure == null ? String.valueOf(cause) : "write failed: " + writeFailure;
+    }
+
     private void fail(String reason) {
         HttpExchange exchange = mExchange;
         mExchange = null;
@@ -129,7 +140,15 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-        fail(String.valueOf(cause.getMessage()));
+        fail(describeFailure(cause));
+    }
+
+    @Override
+    public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
+        if (event == ChannelInputShutdownEvent.INSTANCE) {
+            fail("connection ended by the server");
+        }
+        ctx.fireUserEventTriggered(event);
     }
 
     @Override
--- a/oriolewind-node/src/main/java/org/oriolewind/node/http/PooledHttpClient.java
+++ b/oriolewind-node/src/main/java/org/oriolewind/node/http/PooledHttpClient.java
@@ -118,6 +118,7 @@
                         .group(mLoop)
                         .channel(NioSocketChannel.class)
                         .option(ChannelOption.TCP_NODELAY, true)
+                        .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
                         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, mConnectTimeoutMillis)
                         .handler(
                                 new ChannelInitializer<SocketChannel>() {
@@ -141,13 +142,16 @@
     private void addHandlers(Channel channel) {
         setKeepAlive(channel);
         ResponseByteLimiter byteLimiter = new ResponseByteLimiter();
+        ConnectionEndDetector endDetector = new ConnectionEndDetector();
         channel.pipeline()
                 .addLast(byteLimiter)
+                .addLast(endDetector)
                 .addLast(new HttpClientCodec(MAX_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES))
                 .addLast(new HttpObjectAggregator(mMaxResponseBytes))
                 .addLast(
                         new HttpConnection(
                                 channel,
+                                endDetector,
                                 byteLimiter,
                                 MAX_HEADER_BYTES + MAX_OVERHEAD_FACTOR * mMaxResponseBytes,
                                 mMaxIdleMillis,
--- a/oriolewind-node/src/test/java/org/oriolewind/node/http/PooledHttpClientTest.java
+++ b/oriolewind-node/src/test/java/org/oriolewind/node/http/PooledHttpClientTest.java
@@ -30,6 +30,7 @@
 import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.oriolewind.request.Cancellable;
 
@@ -52,6 +53,12 @@
     /** More than the socket buffers of a connection hold. */
     private static final int UNWRITABLE_BODY_BYTES = 32 * 1024 * 1024;
 
+    /** The reset is seen by a write or by a read, whichever comes first. */
+    private static final int RESET_REPETITIONS = 20;
+
+    /** Receive buffer of a server that holds up the requests of clients. */
+    private static final int RECEIVE_BUFFER_BYTES = 16_384;
+
     private final EventLoopGroup mGroup =
             new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final EventLoop mLoop = mGroup.next();
@@ -61,7 +68,9 @@
 
     @BeforeEach
     void open() throws IOException {
-        mServer = new ServerSocket(0, 10, InetAddress.getLoopbackAddress());
+        mServer = new ServerSocket();
+        mServer.setReceiveBufferSize(RECEIVE_BUFFER_BYTES);
+        mServer.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 10);
         InetSocketAddress address =
                 new InetSocketAddress(InetAddress.getLoopbackAddress(), mServer.getLocalPort());
         mClient = new PooledHttpClient(mLoop, address, 10, 500, 5000, MAX_RESPONSE_BYTES);
@@ -282,6 +291,36 @@
         assertEquals("sent", outcome());
     }
 
+    /** Guards against a failed write whose closed connection ends the response as if whole. */
+    @ParameterizedTest
+    @CsvSource({"4000000, 0", "4000000, 100000", "32000000, 0", "32000000, 1000000"})
+    void responseWithoutLengthThatIsResetDuringTheRequestIsIncomplete(int bodyBytes, int readBytes)
+            throws Exception {
+        for (int i = 0; i < RESET_REPETITIONS; i++) {
+            mLoop.execute(() -> start("a", 2000, bodyBytes));
+            Socket socket = mServer.accept();
+            socket.getInputStream().readNBytes(readBytes);
+            write(socket, "HTTP/1.1 200 OK\r\nId: a\r\n\r\nhalf");
+            Thread.sleep(20);
+            socket.setSoLinger(true, 0);
+            socket.close();
+            assertEquals("sent", outcome(), "repetition " + i);
+        }
+    }
+
+    /** Guards against a close on this side that ends the response as if whole. */
+    @Test
+    void responseWithoutLengthThatIsClosedOnThisSideIsIncomplete() throws Exception {
+        send("a", 2000);
+        try (Socket socket = mServer.accept()) {
+            readRequest(socket);
+            write(socket, "HTTP/1.1 200 OK\r\nId: a\r\n\r\nhalf");
+            Thread.sleep(100);
+            mGroup.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+            assertEquals("sent", outcome());
+        }
+    }
+
     @Test
     void missingResponseEndsAtTheTimeout() throws Exception {
         send("a", 300);
