A connection to a backend server carries each request ID once

A run of a request fails after its own call was answered; the repeated run makes the call again under the same ID; it reaches the same backend server on the same kept connection, which writes a late copy of the first answer before the second one.

Cause: an answer is matched to its exchange by the ID alone, and nothing remembers that the ID was already answered on the connection. Idle connections are taken last in, first out, so the second run tends to get the same one.

PooledHttpClientTest.lateDuplicateResponseIsNotMatchedToA- SecondRequestWithItsId fails on the code before: the connection was used again.

Why this works: a copy can only match the ID of an exchange of its own connection, and no other exchange of that connection has the ID any more. After 128 exchanges a connection is closed, which bounds the memory; forgetting old IDs would not be safe.

The test of resets during the request waits until bytes have arrived: once, with 40 runnable threads a core group, the reset came before the client had noticed that it was connected, and 'unsent' is then true ('connect failed: Connection reset by peer').

--- a/oriolewind-node/src/main/java/org/oriolewind/node/http/HttpConnection.java
+++ b/oriolewind-node/src/main/java/org/oriolewind/node/http/HttpConnection.java
@@ -7,6 +7,8 @@
 import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpUtil;
+import java.util.HashSet;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
@@ -14,18 +16,23 @@
  * One connection to a server, which carries one request at a time. It is closed and not reused
  * after an error, after an unsolicited or malformed response, after a response that arrived before
  * the request was written, and after one that doesn't name its request, since a copy of it could be
- * taken for the answer to the next request. Confined to the event loop.
+ * taken for the answer to the next request. It carries each request ID at most once, since a copy
+ * of the first response would answer the second request. Confined to the event loop.
  */
 final class HttpConnection extends SimpleChannelInboundHandler<FullHttpResponse> {
     /** Share of the idle timeout stated by the server for which an idle connection is reused. */
     private static final double USED_IDLE_SHARE = 0.5;
 
+    /** Bounds the memory for the IDs of a connection; it is closed after so many. */
+    private static final int MAX_REQUEST_IDS = 128;
+
     private final Channel mChannel;
     private final ConnectionEndDetector mEndDetector;
     private final ResponseByteLimiter mByteLimiter;
     private final long mMaxReceivedBytes;
     private final Consumer<HttpConnection> mOnIdle;
     private final Consumer<HttpConnection> mOnClosed;
+    private final Set<String> mRequestIds = new HashSet<>();
     private long mMaxIdleNanos;
     private HttpExchange mExchange;
     private ChannelFuture mWriteFuture;
@@ -53,8 +60,14 @@
         return mChannel.isActive() && nowNanos - mIdleSinceNanos < mMaxIdleNanos;
     }
 
+    /** Returns whether a request with the same ID has been sent on this connection. */
+    boolean hasCarried(HttpExchange exchange) {
+        return exchange.requestId().filter(mRequestIds::contains).isPresent();
+    }
+
     void send(HttpExchange exchange) {
         mExchange = exchange;
+        exchange.requestId().ifPresent(mRequestIds::add);
         mByteLimiter.allow(mMaxReceivedBytes);
         exchange.onSent(this);
         mWriteFuture = mChannel.writeAndFlush(exchange.request());
@@ -88,7 +101,8 @@
                         && !mUnexpectedResponse
                         && HttpUtil.isKeepAlive(response)
                         && !mEndDetector.isEndedByServer()
-                        && mWriteFuture.isDone();
+                        && mWriteFuture.isDone()
+                        && mRequestIds.size() < MAX_REQUEST_IDS;
         applyKeepAliveTimeout(response.headers().get("Keep-Alive"));
         exchange.succeed(
                 response,
--- a/oriolewind-node/src/main/java/org/oriolewind/node/http/HttpExchange.java
+++ b/oriolewind-node/src/main/java/org/oriolewind/node/http/HttpExchange.java
@@ -4,6 +4,7 @@
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.util.concurrent.ScheduledFuture;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 
 /** One request and its outcome. Invariant: it ends exactly once. Confined to the event loop. */
@@ -35,6 +36,10 @@
         mConnection = connection;
     }
 
+    Optional<String> requestId() {
+        return mListener.requestId();
+    }
+
     HttpResponseListener.Match match(FullHttpResponse response) {
         return mListener.match(response);
     }
--- a/oriolewind-node/src/main/java/org/oriolewind/node/http/HttpResponseListener.java
+++ b/oriolewind-node/src/main/java/org/oriolewind/node/http/HttpResponseListener.java
@@ -1,6 +1,7 @@
 package org.oriolewind.node.http;
 
 import io.netty.handler.codec.http.FullHttpResponse;
+import java.util.Optional;
 
 /**
  * Receives the end of an exchange on the event loop of the client. Either {@link #onResponse} or
@@ -20,6 +21,14 @@
         OTHER
     }
 
+    /**
+     * Returns the ID that responses to the request carry, empty if they carry none. A connection is
+     * used for an ID only once, since a late copy of its first response would match again.
+     */
+    default Optional<String> requestId() {
+        return Optional.empty();
+    }
+
     /**
      * Returns how a response relates to the request.
      *
--- a/oriolewind-node/src/main/java/org/oriolewind/node/http/PooledHttpClient.java
+++ b/oriolewind-node/src/main/java/org/oriolewind/node/http/PooledHttpClient.java
@@ -14,6 +14,7 @@
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
+import java.util.Iterator;
 import jdk.net.ExtendedSocketOptions;
 import org.oriolewind.request.Cancellable;
 
@@ -88,7 +89,7 @@
             FullHttpRequest request, long timeoutMillis, HttpResponseListener listener) {
         HttpExchange exchange = new HttpExchange(request, listener);
         exchange.setTimeout(mLoop, timeoutMillis);
-        HttpConnection idle = takeIdle();
+        HttpConnection idle = takeIdle(exchange);
         if (idle != null) {
             idle.send(exchange);
         } else if (mOpenConnections >= mMaxConnections) {
@@ -99,11 +100,17 @@
         return () -> exchange.abort(false);
     }
 
-    private HttpConnection takeIdle() {
+    private HttpConnection takeIdle(HttpExchange exchange) {
         long now = System.nanoTime();
-        while (!mIdleConnections.isEmpty()) {
-            HttpConnection connection = mIdleConnections.removeLast();
-            if (connection.isUsable(now)) {
+        Iterator<HttpConnection> latestFirst = mIdleConnections.descendingIterator();
+        while (latestFirst.hasNext()) {
+            HttpConnection connection = latestFirst.next();
+            boolean usable = connection.isUsable(now);
+            if (usable && connection.hasCarried(exchange)) {
+                continue;
+            }
+            latestFirst.remove();
+            if (usable) {
                 return connection;
             }
             connection.close();
--- a/oriolewind-node/src/test/java/org/oriolewind/node/http/PooledHttpClientTest.java
+++ b/oriolewind-node/src/test/java/org/oriolewind/node/http/PooledHttpClientTest.java
@@ -21,6 +21,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
@@ -89,6 +90,11 @@
             mId = id;
         }
 
+        @Override
+        public Optional<String> requestId() {
+            return Optional.of(mId);
+        }
+
         @Override
         public Match match(FullHttpResponse response) {
             String id = response.headers().get("Id");
@@ -150,6 +156,13 @@
         }
     }
 
+    /** Waits until some bytes have arrived, which shows that the client uses the connection. */
+    private static void awaitBytes(Socket socket) throws Exception {
+        while (socket.getInputStream().available() == 0) {
+            Thread.sleep(1);
+        }
+    }
+
     private static void write(Socket socket, String text) throws IOException {
         socket.getOutputStream().write(text.getBytes(StandardCharsets.UTF_8));
         socket.getOutputStream().flush();
@@ -184,6 +197,49 @@
         }
     }
 
+    /** Guards against a late copy that answers a second request with the same ID. */
+    @Test
+    void lateDuplicateResponseIsNotMatchedToASecondRequestWithItsId() throws Exception {
+        mServer.setSoTimeout(2000);
+        send("a", 4000);
+        try (Socket first = mServer.accept()) {
+            readRequest(first);
+            write(first, String.format(OK, "a"));
+            assertEquals("200 ok", outcome());
+            send("a", 4000);
+            try (Socket second = mServer.accept()) {
+                write(first, String.format(OK, "a"));
+                readRequest(second);
+                write(second, "HTTP/1.1 500 Failed\r\nId: a\r\nContent-Length: 2\r\n\r\nno");
+                assertEquals("500 no", outcome());
+            }
+        }
+    }
+
+    @Test
+    void connectionCarriesALimitedNumberOfRequests() throws Exception {
+        int connections = 0;
+        for (int i = 0; connections < 3; ) {
+            connections++;
+            send("a" + i, 4000);
+            try (Socket socket = mServer.accept()) {
+                socket.setSoTimeout(2000);
+                int requests = 0;
+                do {
+                    readRequest(socket);
+                    write(socket, String.format(OK, "a" + i));
+                    assertEquals("200 ok", outcome());
+                    i++;
+                    requests++;
+                    if (requests < 128) {
+                        send("a" + i, 4000);
+                    }
+                } while (requests < 128);
+                assertEquals(-1, socket.getInputStream().read());
+            }
+        }
+    }
+
     @Test
     void duplicateResponseClosesTheConnection() throws Exception {
         send("a", 2000);
@@ -299,6 +355,7 @@
         for (int i = 0; i < RESET_REPETITIONS; i++) {
             mLoop.execute(() -> start("a", 2000, bodyBytes));
             Socket socket = mServer.accept();
+            awaitBytes(socket);
             socket.getInputStream().readNBytes(readBytes);
             write(socket, "HTTP/1.1 200 OK\r\nId: a\r\n\r\nhalf");
             Thread.sleep(20);
