Jetty client: only the server's own end in order ends a response

Cause: ResponseEndPoint took each end of the input for the server's end. A read returns the same after an end in order, after a reset that followed the end of the output, after a reset whose only error a failed write had returned, and after a close on this side.

The end point now remembers the server's end; a shut-down input without it is an error. At the end it asks the operating system whether the connection has failed: that doesn't depend on who took the error.

--- a/oriolewind-node/src/main/java/org/oriolewind/node/ResponseEndPoint.java
+++ b/oriolewind-node/src/main/java/org/oriolewind/node/ResponseEndPoint.java
@@ -5,6 +5,7 @@
 import java.nio.channels.SelectionKey;
 import java.nio.channels.SocketChannel;
 import java.util.concurrent.atomic.AtomicLong;
+import org.eclipse.jetty.io.EofException;
 import org.eclipse.jetty.io.ManagedSelector;
 import org.eclipse.jetty.io.SocketChannelEndPoint;
 import org.eclipse.jetty.util.BufferUtil;
@@ -18,6 +19,7 @@
 final class ResponseEndPoint extends SocketChannelEndPoint {
     private final long mMaxResponseBytes;
     private final AtomicLong mReceivedBytes = new AtomicLong();
+    private volatile boolean mEndedByServer;
 
     ResponseEndPoint(
             SocketChannel channel,
@@ -31,9 +33,12 @@
 
     @Override
     public int fill(ByteBuffer buffer) throws IOException {
-        if (isInputShutdown()) {
+        if (mEndedByServer) {
             return -1;
         }
+        if (isInputShutdown()) {
+            throw new EofException("closed on this side");
+        }
         int position = BufferUtil.flipToFill(buffer);
         int filled;
         try {
@@ -47,6 +52,10 @@
                 throw new IOException("response of more than " + mMaxResponseBytes + " bytes");
             }
         } else if (filled < 0) {
+            if (!isOutputShutdown() && ConnectionState.hasFailed(getChannel())) {
+                throw new EofException("reset by the server");
+            }
+            mEndedByServer = true;
             shutdownInput();
         }
         return filled;
