Callers' requests: a chunked body that was cut is not dispatched

A caller's call was run with a part of its body when its connection ended after the CR that follows a chunk, before the last chunk.

Cause: Jetty's server reports such a body as complete, without a failure; it also does so after the header of the last chunk, where only the end of the trailer is missing.

A complete chunked body ends before the end of the connection is read. So one at whose end the input is already shut down is refused as not run. The handler takes the dispatcher as a function, so that a test needs no mesh.

--- a/oriolewind-node/src/main/java/org/oriolewind/node/call/CallerHandler.java
+++ b/oriolewind-node/src/main/java/org/oriolewind/node/call/CallerHandler.java
@@ -8,7 +8,9 @@
 import java.util.Optional;
 import java.util.UUID;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.BiConsumer;
 import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
 import org.eclipse.jetty.http.HttpField;
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.http.HttpMethod;
@@ -18,7 +20,6 @@
 import org.eclipse.jetty.util.Callback;
 import org.oriolewind.config.JsonFormat;
 import org.oriolewind.request.CallAnswers;
-import org.oriolewind.request.CallDispatcher;
 import org.oriolewind.request.CallResult;
 import org.oriolewind.request.CallerCall;
 import org.oriolewind.time.NodeClock;
@@ -37,7 +38,7 @@
     private static final int MAX_TIMEOUT_MILLIS = 600_000;
     private static final int MAX_HOPS = 64;
 
-    private final CallDispatcher mDispatcher;
+    private final BiConsumer<CallerCall, Consumer<CallResult>> mDispatcher;
     private final NodeClock mClock;
     private final BooleanSupplier mReady;
     private final BooleanSupplier mShuttingDown;
@@ -45,7 +46,7 @@
     private final AtomicInteger mOpenCalls = new AtomicInteger();
 
     CallerHandler(
-            CallDispatcher dispatcher,
+            BiConsumer<CallerCall, Consumer<CallResult>> dispatcher,
             NodeClock clock,
             BooleanSupplier ready,
             BooleanSupplier shuttingDown,
@@ -93,13 +94,22 @@
 
     private void onBody(
             Request request, Response response, Callback callback, Optional<ByteString> body) {
-        if (body.isEmpty()) {
+        if (body.isEmpty() || mayBeCut(request)) {
             String problem = "body can't be read or is over the limit";
             refuse(response, callback, new BadRequest(413, problem));
             return;
         }
         CallerCall call = toCall(request, body.get());
-        mDispatcher.dispatch(call, result -> write(response, callback, result));
+        mDispatcher.accept(call, result -> write(response, callback, result));
+    }
+
+    /**
+     * Returns whether the body ended with the connection. Jetty takes some chunked bodies for
+     * complete that were cut before their last chunk; a complete one ends before the end is read.
+     */
+    private static boolean mayBeCut(Request request) {
+        return request.getHeaders().contains(HttpHeader.TRANSFER_ENCODING)
+                && request.getConnectionMetaData().getConnection().getEndPoint().isInputShutdown();
     }
 
     private Optional<BadRequest> check(Request request) {
--- a/oriolewind-node/src/main/java/org/oriolewind/node/call/RequestPipeline.java
+++ b/oriolewind-node/src/main/java/org/oriolewind/node/call/RequestPipeline.java
@@ -88,7 +88,11 @@
                         (key, done) -> sendKeyRequest(context, control, key, done));
         mCallerHandler =
                 new CallerHandler(
-                        dispatcher, context.clock(), control::isReady, () -> mShuttingDown, limits);
+                        dispatcher::dispatch,
+                        context.clock(),
+                        control::isReady,
+                        () -> mShuttingDown,
+                        limits);
         registerGauges(context.registry());
     }
 
