--- a/oriolewind-node/src/test/java/org/oriolewind/node/call/PeerLinksTest.java
+++ b/oriolewind-node/src/test/java/org/oriolewind/node/call/PeerLinksTest.java
@@ -4,9 +4,11 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.codahale.metrics.MetricRegistry;
+import com.google.protobuf.ByteString;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import java.io.ByteArrayOutputStream;
 import java.io.DataInputStream;
 import java.io.DataOutputStream;
 import java.io.IOException;
@@ -22,10 +24,14 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.oriolewind.node.peer.PeerMetrics;
 import org.oriolewind.node.peer.PeerTransport;
+import org.oriolewind.request.CallAnswers;
 import org.oriolewind.time.FakeClock;
 import org.oriolewind.wire.CallAnswer;
+import org.oriolewind.wire.CallOutcome;
 import org.oriolewind.wire.CallRequest;
 import org.oriolewind.wire.DocumentSet;
 import org.oriolewind.wire.Frame;
@@ -36,6 +42,8 @@
 /** A link to a node that accepts the connection and writes only the frames of the test. */
 class PeerLinksTest {
     private static final int TIMEOUT_MILLIS = 10_000;
+    private static final int BODY_BYTES = 300_000;
+    private static final int PART_BYTES = 10_000;
     private static final NodeStatus STATUS =
             NodeStatus.newBuilder().setNode("a").setDataCentre("dc1").build();
 
@@ -223,4 +231,69 @@
         assertEquals("a", readFrame().getNodeStatus().getNode());
         assertTrue(readFrame().hasCallRequest());
     }
+
+    private void awaitAnswers(int count) throws Exception {
+        long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(TIMEOUT_MILLIS);
+        while (onLoop(mAnswers::size) < count) {
+            assertTrue(System.nanoTime() < end, "call must end");
+            Thread.sleep(10);
+        }
+    }
+
+    private static byte[] answerFrame(long stream) throws IOException {
+        Frame frame =
+                Frame.newBuilder()
+                        .setCallAnswer(
+                                CallAnswer.newBuilder()
+                                        .setStream(stream)
+                                        .setOutcome(CallOutcome.CALL_OUTCOME_ANSWERED)
+                                        .setStatus(200)
+                                        .setBody(ByteString.copyFrom(new byte[BODY_BYTES])))
+                        .build();
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        DataOutputStream out = new DataOutputStream(bytes);
+        out.writeInt(frame.getSerializedSize());
+        frame.writeTo(out);
+        return bytes.toByteArray();
+    }
+
+    /** Guards against an answer with a part of its body, or of a call whose link has ended. */
+    @ParameterizedTest
+    @CsvSource({
+        "false, 0",
+        "false, 3",
+        "false, 4",
+        "false, 200000",
+        "false, 300000",
+        "true, 0",
+        "true, 200000",
+        "true, 300000"
+    })
+    void callWhoseAnswerIsCutEndsAsUnknown(boolean reset, int bytes) throws Exception {
+        call();
+        long stream = readFrame().getCallRequest().getStream();
+        mSocket.getOutputStream().write(answerFrame(stream), 0, bytes);
+        if (reset) {
+            mSocket.setSoLinger(true, 0);
+        }
+        mSocket.close();
+        awaitAnswers(1);
+        assertEquals(List.of(CallAnswers.unknown()), mAnswers);
+    }
+
+    @Test
+    void answerThatArrivesInPartsIsWhole() throws Exception {
+        call();
+        long stream = readFrame().getCallRequest().getStream();
+        byte[] frame = answerFrame(stream);
+        for (int start = 0; start < frame.length; start += PART_BYTES) {
+            int bytes = Math.min(PART_BYTES, frame.length - start);
+            mSocket.getOutputStream().write(frame, start, bytes);
+            Thread.sleep(1);
+        }
+        awaitAnswers(1);
+        assertEquals(BODY_BYTES, mAnswers.get(0).getBody().size());
+        mSocket.close();
+        assertEquals(1, mAnswers.size());
+    }
 }
