Store watches: all deletions in one response are applied

Evacuations that operators had taken back stayed in force, and requests were answered 503 until the next list: of several deletions in one response of a watch only the first was applied. An event of a deletion has no revision of its own. The watch took the latest possible one, the same for both, and the cache ignores a change that isn't later than the one before. The node then had the wrong documents at the revision of the response, and nodes at equal revisions don't exchange documents, nor is a list at that revision applied.

The cache now applies the changes of a response as a whole, at its revision. A deletion removes the document unless it has a later revision than the deleted one, and a change is applied if it is later than the documents were; so no revision of a deletion is needed. The documents are those of the store at their revision, whatever other nodes send meanwhile.

--- a/oriolewind-core/src/main/java/org/oriolewind/policy/OperatorDocumentCache.java
+++ b/oriolewind-core/src/main/java/org/oriolewind/policy/OperatorDocumentCache.java
@@ -12,9 +12,10 @@
 /**
  * This node's copy of the operators' documents, received from the store or from other nodes.
  *
- * <p>Invariants: the revision of a kind never decreases, and the version of the policy in force
- * never decreases during the lifetime of the process, in whatever order documents arrive. Not
- * thread-safe.
+ * <p>Invariants: the revision of a kind and the version of the policy in force never decrease
+ * during the lifetime of the process, in whatever order documents arrive. The documents of a kind
+ * are those that the store had at its revision, so nodes with equal revisions have equal documents.
+ * Not thread-safe.
  */
 public final class OperatorDocumentCache {
     /** Name of the document that holds the configuration. */
@@ -68,25 +69,51 @@
     }
 
     /**
-     * Applies a single change. Ignored unless it is newer than the present documents of its kind.
-     * All changes before it must have been applied.
+     * Applies consecutive changes of a kind, up to a store revision, as a whole. Changes that the
+     * present documents already include have no effect: these may have come from another node.
      *
-     * @param document the document; its content is ignored if it was deleted
-     * @param deleted whether the document was deleted
-     * @param asOfRevision the store revision of the change
+     * @param changes all changes of the kind after a revision up to which the present documents are
+     *     complete, in the order of the store; possibly none
+     * @param asOfRevision the store revision up to which the changes are complete
      */
-    public void apply(
-            DocumentKind kind, OperatorDocument document, boolean deleted, long asOfRevision) {
-        if (asOfRevision <= revision(kind)) {
+    public void apply(DocumentKind kind, List<DocumentChange> changes, long asOfRevision) {
+        long presentRevision = revision(kind);
+        if (asOfRevision <= presentRevision || changes.isEmpty()) {
             return;
         }
-        if (deleted) {
-            mDocuments.get(kind).remove(document.name());
-        } else {
-            mDocuments.get(kind).put(document.name(), document);
+        TreeMap<String, OperatorDocument> documents = mDocuments.get(kind);
+        boolean changed = false;
+        for (DocumentChange change : changes) {
+            changed |= applyOne(documents, change, presentRevision);
         }
         mRevisions.put(kind, asOfRevision);
-        onDocumentsChanged(kind);
+        if (changed) {
+            onDocumentsChanged(kind);
+        }
+    }
+
+    /**
+     * Applies one change to documents that were complete at a revision before their latest changes.
+     * A deletion has no revision of its own, but a document that was created again after it has a
+     * later one than the document that was deleted.
+     */
+    private static boolean applyOne(
+            TreeMap<String, OperatorDocument> documents,
+            DocumentChange change,
+            long completeRevision) {
+        OperatorDocument document = change.document();
+        OperatorDocument present = documents.get(document.name());
+        if (change.deleted()) {
+            boolean current = present != null && present.revision() <= document.revision();
+            return current && documents.remove(document.name()) != null;
+        }
+        boolean outdated =
+                document.revision() <= completeRevision
+                        || present != null && present.revision() >= document.revision();
+        if (!outdated) {
+            documents.put(document.name(), document);
+        }
+        return !outdated;
     }
 
     private void onDocumentsChanged(DocumentKind kind) {
--- a/oriolewind-core/src/test/java/org/oriolewind/backend/BackendCallServerTest.java
+++ b/oriolewind-core/src/test/java/org/oriolewind/backend/BackendCallServerTest.java
@@ -11,6 +11,7 @@
 import org.junit.jupiter.api.Test;
 import org.oriolewind.dispatch.ClientRequest;
 import org.oriolewind.dispatch.RequestLog;
+import org.oriolewind.policy.DocumentChange;
 import org.oriolewind.policy.DocumentKind;
 import org.oriolewind.policy.FakeDecoder;
 import org.oriolewind.policy.OperatorDocumentCache;
@@ -99,8 +100,8 @@
     }
 
     private void evacuate(boolean out, long revision) {
-        mDocuments.apply(
-                DocumentKind.EVACUATION, FakeDecoder.document("dc1", revision, ""), !out, revision);
+        DocumentChange change = new DocumentChange(FakeDecoder.document("dc1", revision, ""), !out);
+        mDocuments.apply(DocumentKind.EVACUATION, List.of(change), revision);
         mCallServer.refresh();
     }
 
--- a/oriolewind-core/src/test/java/org/oriolewind/loadbalancing/NodeSelectorTest.java
+++ b/oriolewind-core/src/test/java/org/oriolewind/loadbalancing/NodeSelectorTest.java
@@ -10,6 +10,7 @@
 import java.util.Random;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
+import org.oriolewind.policy.DocumentChange;
 import org.oriolewind.policy.DocumentKind;
 import org.oriolewind.policy.FakeDecoder;
 import org.oriolewind.policy.OperatorDocumentCache;
@@ -154,7 +155,8 @@
     @Test
     void evacuatedDataCentreIsNotSelected() {
         mFleet.onStatus(status("near", "dc1").build());
-        mDocuments.apply(DocumentKind.EVACUATION, FakeDecoder.document("dc1", 1, ""), false, 1);
+        DocumentChange evacuation = new DocumentChange(FakeDecoder.document("dc1", 1, ""), false);
+        mDocuments.apply(DocumentKind.EVACUATION, List.of(evacuation), 1);
         assertEquals(Optional.empty(), selectNode());
     }
 
