--- a/oriolewind-core/src/test/java/org/oriolewind/backend/BackendCallServerTest.java
+++ b/oriolewind-core/src/test/java/org/oriolewind/backend/BackendCallServerTest.java
@@ -12,6 +12,7 @@
 import org.oriolewind.dispatch.ClientRequest;
 import org.oriolewind.dispatch.RequestLog;
 import org.oriolewind.dispatch.UnusualResponse;
+import org.oriolewind.policy.DocumentChange;
 import org.oriolewind.policy.DocumentKind;
 import org.oriolewind.policy.FakeDecoder;
 import org.oriolewind.policy.OperatorDocumentCache;
@@ -106,8 +107,8 @@
     }
 
     private void evacuate(boolean out, long revision) {
-        mDocuments.apply(
-                DocumentKind.EVACUATION, FakeDecoder.document("dc1", revision, ""), !out, revision);
+        DocumentChange change = new DocumentChange(FakeDecoder.document("dc1", revision, ""), !out);
+        mDocuments.apply(DocumentKind.EVACUATION, List.of(change), revision);
         mCallServer.refresh();
     }
 
