An end in order that is followed by a reset doesn't complete a response

A plain close in Java, or a shutdown of the output followed by a reset, sends an end in order first and the reset after it.

Cause: the read returns the end before the reset is known, and after the reset too: the kernel doesn't report it to a read once the end has arrived.

Change: the end doesn't complete a response while the request is still being written, as the server can't have read it; and at the end the operating system is asked whether the connection has failed, whoever took its error (ConnectionState, found for the daemon's client, is shared by both). No delay, no case for one writer.

A reset that arrives after the end was read, with the request already in the buffers of the system, still can't be told apart.

--- a/oriolewind-node/src/main/java/org/oriolewind/node/ResponseEndPoint.java
+++ b/oriolewind-node/src/main/java/org/oriolewind/node/ResponseEndPoint.java
@@ -10,6 +10,7 @@
 import org.eclipse.jetty.io.SocketChannelEndPoint;
 import org.eclipse.jetty.util.BufferUtil;
 import org.eclipse.jetty.util.thread.Scheduler;
+import org.oriolewind.node.http.ConnectionState;
 
 /**
  * A connection of a Jetty client. Jetty's own end point takes a reset connection for one that the
--- a/oriolewind-node/src/main/java/org/oriolewind/node/http/ConnectionEndDetector.java
+++ b/oriolewind-node/src/main/java/org/oriolewind/node/http/ConnectionEndDetector.java
@@ -3,6 +3,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
+import java.io.IOException;
 import java.nio.channels.ClosedChannelException;
 
 /**
@@ -24,12 +25,17 @@
     }
 
     @Override
-    public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
+    public void userEventTriggered(ChannelHandlerContext ctx, Object event) throws IOException {
         if (event == ChannelInputShutdownEvent.INSTANCE) {
             if (mFailed) {
                 // A read that fails is followed by this event as well.
                 return;
             }
+            if (((HttpChannel) ctx.channel()).hasFailed()) {
+                mFailed = true;
+                ctx.fireExceptionCaught(new IOException("reset after the end of the output"));
+                return;
+            }
             mEndedByServer = true;
         }
         ctx.fireUserEventTriggered(event);
--- a/oriolewind-node/src/main/java/org/oriolewind/node/ConnectionState.java
+++ b/oriolewind-node/src/main/java/org/oriolewind/node/http/ConnectionState.java
@@ -1,4 +1,4 @@
-package org.oriolewind.node;
+package org.oriolewind.node.http;
 
 import java.io.IOException;
 import java.nio.channels.SelectionKey;
@@ -6,7 +6,7 @@
 import java.nio.channels.SocketChannel;
 
 /** What the operating system knows of a connection beyond the result of a read. Stateless. */
-final class ConnectionState {
+public final class ConnectionState {
     private ConnectionState() {}
 
     /**
@@ -16,7 +16,7 @@
      *
      * @param channel a connected channel in non-blocking mode whose output isn't shut down
      */
-    static boolean hasFailed(SocketChannel channel) throws IOException {
+    public static boolean hasFailed(SocketChannel channel) throws IOException {
         try (Selector selector = Selector.open()) {
             // A connected channel is ready for a connect only if it has an error or is hung up.
             channel.register(selector, SelectionKey.OP_CONNECT);
--- a/oriolewind-node/src/main/java/org/oriolewind/node/http/HttpConnection.java
+++ b/oriolewind-node/src/main/java/org/oriolewind/node/http/HttpConnection.java
@@ -90,6 +90,11 @@
             mUnexpectedResponse = true;
             return;
         }
+        if (mEndDetector.isEndedByServer() && !mWriteFuture.isDone()) {
+            // A server that closes with a part of the request unread resets the connection next.
+            fail("connection ended by the server before it read the request");
+            return;
+        }
         boolean identified = match == HttpResponseListener.Match.OWN;
         if (!identified && (mUnexpectedResponse || !mWriteFuture.isDone())) {
             fail("response without a request id that may belong to an earlier request");
--- a/oriolewind-node/src/main/java/org/oriolewind/node/http/PooledHttpClient.java
+++ b/oriolewind-node/src/main/java/org/oriolewind/node/http/PooledHttpClient.java
@@ -8,7 +8,6 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioChannelOption;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpObjectAggregator;
@@ -123,7 +122,7 @@
         ChannelFuture future =
                 new Bootstrap()
                         .group(mLoop)
-                        .channel(NioSocketChannel.class)
+                        .channelFactory(HttpChannel::new)
                         .option(ChannelOption.TCP_NODELAY, true)
                         .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
                         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, mConnectTimeoutMillis)
--- a/oriolewind-node/src/test/java/org/oriolewind/node/call/BackendClientCutTest.java
+++ b/oriolewind-node/src/test/java/org/oriolewind/node/call/BackendClientCutTest.java
@@ -97,7 +97,7 @@
         }
 
         @Override
-        public void onFailure(boolean sent, boolean timedOut) {
+        public void onFailure(boolean sent, boolean timedOut, String reason) {
             mOutcomes.add((sent ? "unknown" : "unsent") + (timedOut ? ", timed out" : ""));
         }
     }
--- a/oriolewind-node/src/test/java/org/oriolewind/node/http/PooledHttpClientTest.java
+++ b/oriolewind-node/src/test/java/org/oriolewind/node/http/PooledHttpClientTest.java
@@ -347,11 +347,48 @@
         assertEquals("sent", outcome());
     }
 
+    /** How a server breaks off a connection while a part of the request is unread. */
+    private enum Break {
+        RESET {
+            @Override
+            void apply(Socket socket) throws IOException {
+                socket.setSoLinger(true, 0);
+                socket.close();
+            }
+        },
+        /** The operating system resets the connection for what is left unread. */
+        CLOSE {
+            @Override
+            void apply(Socket socket) throws IOException {
+                socket.close();
+            }
+        },
+        END_THEN_RESET {
+            @Override
+            void apply(Socket socket) throws IOException {
+                socket.shutdownOutput();
+                RESET.apply(socket);
+            }
+        };
+
+        abstract void apply(Socket socket) throws IOException;
+    }
+
     /** Guards against a failed write whose closed connection ends the response as if whole. */
     @ParameterizedTest
-    @CsvSource({"4000000, 0", "4000000, 100000", "32000000, 0", "32000000, 1000000"})
-    void responseWithoutLengthThatIsResetDuringTheRequestIsIncomplete(int bodyBytes, int readBytes)
-            throws Exception {
+    @CsvSource({
+        "4000000, 0, RESET",
+        "4000000, 100000, RESET",
+        "32000000, 0, RESET",
+        "32000000, 1000000, RESET",
+        "4000000, 0, CLOSE",
+        "4000000, 100000, CLOSE",
+        "32000000, 1000000, CLOSE",
+        "4000000, 100000, END_THEN_RESET",
+        "32000000, 0, END_THEN_RESET"
+    })
+    void responseWithoutLengthThatIsBrokenOffDuringTheRequestIsIncomplete(
+            int bodyBytes, int readBytes, Break how) throws Exception {
         for (int i = 0; i < RESET_REPETITIONS; i++) {
             mLoop.execute(() -> start("a", 2000, bodyBytes));
             Socket socket = mServer.accept();
@@ -359,8 +396,7 @@
             socket.getInputStream().readNBytes(readBytes);
             write(socket, "HTTP/1.1 200 OK\r\nId: a\r\n\r\nhalf");
             Thread.sleep(20);
-            socket.setSoLinger(true, 0);
-            socket.close();
+            how.apply(socket);
             assertEquals("sent", outcome(), "repetition " + i);
         }
     }
