Interim responses are never the answer to a request

What callers saw: an answer with status 100, 102 or 103, without the stamp and the body, where the backend server wrote an interim response that names the request and then the answer. The connection was kept, so that a refusal without an id, which followed, was given to the next request on it, as 'not run'.

Cause: the aggregator delivers an interim response like any other, and the id was all that was compared.

Change: a response with a status of class 1xx is dropped, and the connection is not used again, as was already the case for one without an id. The final response is still awaited.

--- a/oriolewind-node/src/main/java/org/oriolewind/node/http/HttpConnection.java
+++ b/oriolewind-node/src/main/java/org/oriolewind/node/http/HttpConnection.java
@@ -6,6 +6,7 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import java.util.HashSet;
 import java.util.Set;
@@ -84,6 +85,11 @@
             fail("malformed or unsolicited response");
             return;
         }
+        if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
+            // An interim response may name the request, but the answer may still follow.
+            mUnexpectedResponse = true;
+            return;
+        }
         HttpResponseListener.Match match = exchange.match(response);
         if (match == HttpResponseListener.Match.OTHER) {
             // The response belongs to an earlier exchange; the expected one may still follow.
--- a/oriolewind-node/src/test/java/org/oriolewind/node/http/PooledHttpClientTest.java
+++ b/oriolewind-node/src/test/java/org/oriolewind/node/http/PooledHttpClientTest.java
@@ -378,6 +378,19 @@
         }
     }
 
+    /** Guards against an interim response that is passed on in place of the answer. */
+    @ParameterizedTest
+    @ValueSource(strings = {"100 Continue", "102 Processing", "103 Early Hints", "199 Other"})
+    void interimResponseThatNamesTheRequestIsNotItsAnswer(String interim) throws Exception {
+        send("a", 2000);
+        try (Socket socket = mServer.accept()) {
+            readRequest(socket);
+            write(socket, "HTTP/1.1 " + interim + "\r\nId: a\r\n\r\n" + String.format(OK, "a"));
+            assertEquals("200 ok", outcome());
+            assertEquals(-1, socket.getInputStream().read());
+        }
+    }
+
     @Test
     void missingResponseEndsAtTheTimeout() throws Exception {
         send("a", 300);
