A response with an impossible status is a failure

What callers saw: the statuses 0, 20, 99, 1000 and 2000 passed on from a backend server that wrote them, framed as whole answers; those under 500 counted as a success and were not retried. A status 101 was passed on as well, though nobody had asked for another protocol.

Cause: the decoder accepts any number that isn't negative.

Change: a final status has three digits; 101 and all others are malformed responses. Statuses from 600 to 999 are still passed on unchanged.

--- a/oriolewind-node/src/main/java/org/oriolewind/node/http/HttpConnection.java
+++ b/oriolewind-node/src/main/java/org/oriolewind/node/http/HttpConnection.java
@@ -81,7 +81,7 @@
     @Override
     protected void channelRead0(ChannelHandlerContext ctx, FullHttpResponse response) {
         HttpExchange exchange = mExchange;
-        if (exchange == null || response.decoderResult().isFailure()) {
+        if (exchange == null || !ResponseSyntax.isValid(response)) {
             fail("malformed or unsolicited response");
             return;
         }
--- a/oriolewind-node/src/test/java/org/oriolewind/node/http/PooledHttpClientTest.java
+++ b/oriolewind-node/src/test/java/org/oriolewind/node/http/PooledHttpClientTest.java
@@ -391,6 +391,18 @@
         }
     }
 
+    /** Guards against an answer with a status that callers can't read. */
+    @ParameterizedTest
+    @ValueSource(strings = {"0", "20", "99", "101", "1000", "2000"})
+    void statusThatCannotBeAnAnswerIsAFailure(String status) throws Exception {
+        send("a", 2000);
+        try (Socket socket = mServer.accept()) {
+            readRequest(socket);
+            write(socket, "HTTP/1.1 " + status + " S\r\nId: a\r\nContent-Length: 0\r\n\r\n");
+            assertEquals("sent", outcome());
+        }
+    }
+
     @Test
     void missingResponseEndsAtTheTimeout() throws Exception {
         send("a", 300);
