A head that contains a second status line is a failure

What callers saw: a success with the headers and the body of a failure, or the other way round. The bytes 'HTTP/1.1 200 OK' after a complete response, or in front of the next one, and then a whole 500 for the next request on the kept connection gave '200' with the 500's id, stamp and body. The same when a backend server broke off in the head of a 200 and wrote a 500 on the same connection.

Cause: the decoder takes all up to the end of the line for the reason phrase, or for the value of the header that was cut. The id is that of the second response, so it matches. Whatever precedes it in the decoder supplies the status. The limit for bytes on an idle connection doesn't see those that arrive in one read with the response before, nor those that arrive while the next request is in progress.

--- a/oriolewind-node/src/test/java/org/oriolewind/node/http/PooledHttpClientTest.java
+++ b/oriolewind-node/src/test/java/org/oriolewind/node/http/PooledHttpClientTest.java
@@ -39,6 +39,9 @@
 class PooledHttpClientTest {
     private static final String OK = "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: 2\r\n\r\nok";
 
+    private static final String ERROR =
+            "HTTP/1.1 500 Internal Server Error\r\nId: %s\r\nContent-Length: 2\r\n\r\nno";
+
     /** A refusal that doesn't name the request it answers. */
     private static final String REFUSAL =
             "HTTP/1.1 503 Service Unavailable\r\nRefused: 1\r\nContent-Length: 2\r\n\r\nno";
@@ -403,6 +406,44 @@
         }
     }
 
+    /** Guards against the status of a cut response with the headers and body of another one. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "HTTP/1.1 200 ",
+                "HTTP/1.1 200 O",
+                "HTTP/1.1 200 OK",
+                "HTTP/1.1 200 OK\r",
+                "HTTP/1.1 200 OK\r\n",
+                "HTTP/1.1 200 OK\r\nX: ",
+                "HTTP/1.1 200 OK\r\nX: y\r\n ",
+                "HTTP/1.1 200 OK\r\nId: a\r\nX: y",
+                "HTTP/1.1 200 OK\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX: "
+            })
+    void statusOfACutResponseIsNotCombinedWithTheNextResponse(String cut) throws Exception {
+        send("a", 500);
+        try (Socket socket = mServer.accept()) {
+            readRequest(socket);
+            write(socket, cut + String.format(ERROR, "a"));
+            assertTrue(outcome().startsWith("sent"));
+        }
+    }
+
+    /** Guards against bytes after a response that change the status of the next one. */
+    @Test
+    void bytesAfterAResponseDoNotChangeTheNextStatus() throws Exception {
+        send("a", 2000);
+        try (Socket socket = mServer.accept()) {
+            readRequest(socket);
+            write(socket, String.format(OK, "a") + "HTTP/1.1 200 OK");
+            assertEquals("200 ok", outcome());
+            send("b", 2000);
+            readRequest(socket);
+            write(socket, String.format(ERROR, "b"));
+            assertEquals("sent", outcome());
+        }
+    }
+
     @Test
     void missingResponseEndsAtTheTimeout() throws Exception {
         send("a", 300);
