Daemon: a head put together from two responses is a failure

What callers saw: a success with the headers and the body of a failure, or an answer that also names another call. A backend server that broke off in the head of a 200 and wrote a 500 on the same connection made the daemon answer 200 with the 500's body. Status 101 was passed on as well.

Cause: the checks made for the platform's client were not made in the daemon's. Jetty's parser takes all up to the end of the line for the reason phrase, or for the value of the header or trailer that was cut; BackendClient compared the first of several IDs only.

Change: BackendClient uses the checks of ResponseSyntax, which is public now, and compares all IDs. The call ends as unknown and its connection is closed. A response without an ID is still accepted, as backend servers need not repeat it.

Evidence: BackendClientTest failed before in six of nine cases of statusOfACutResponseIsNotCombinedWithTheNextResponse ('expected: <unknown> but was: <answer 200>'), for status 101, and for the IDs a and b; the other cases passed before. BackendClientTest, BackendClientCutTest and PooledHttpClientTest pass.

--- a/oriolewind-node/src/main/java/org/oriolewind/node/call/BackendClient.java
+++ b/oriolewind-node/src/main/java/org/oriolewind/node/call/BackendClient.java
@@ -14,7 +14,9 @@
 import org.eclipse.jetty.client.Response;
 import org.eclipse.jetty.client.Result;
 import org.eclipse.jetty.http.HttpField;
+import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpHeader;
+import org.oriolewind.node.http.ResponseSyntax;
 import org.oriolewind.request.BackendCallSender;
 import org.oriolewind.request.Cancellable;
 import org.oriolewind.wire.CallRequest;
@@ -94,15 +96,30 @@
 
         /** Returns whether a response repeats the ID of another call. */
         private boolean isOfOtherCall(Response response) {
-            String id = response.getHeaders().get(CallHeaders.CALL);
-            return id != null && !id.equals(mCallId);
+            List<String> ids = response.getHeaders().getValuesList(CallHeaders.CALL);
+            return !ids.stream().allMatch(mCallId::equals);
+        }
+
+        /** Jetty accepts responses that consist of the start of one and the rest of another. */
+        private static boolean isMalformed(Response response) {
+            String reason = response.getReason();
+            return !ResponseSyntax.isValidStatus(response.getStatus())
+                    || reason != null && ResponseSyntax.containsStatusLine(reason)
+                    || containsStatusLine(response.getHeaders())
+                    || response.getTrailers() != null && containsStatusLine(response.getTrailers());
+        }
+
+        private static boolean containsStatusLine(HttpFields fields) {
+            return fields.stream()
+                    .map(HttpField::getValue)
+                    .anyMatch(v -> v != null && ResponseSyntax.containsStatusLine(v));
         }
 
         void closeUnlessReusable(Response response) {
             boolean unidentifiedRefusal =
                     response.getHeaders().contains(CallHeaders.NOT_RUN)
                             && !response.getHeaders().contains(CallHeaders.CALL);
-            if (unidentifiedRefusal || isOfOtherCall(response)) {
+            if (unidentifiedRefusal || isOfOtherCall(response) || isMalformed(response)) {
                 response.getRequest().getConnection().close();
             }
         }
@@ -120,6 +137,10 @@
         }
 
         private void onResponse(Response response) {
+            if (isMalformed(response)) {
+                mListener.onFailure(true, false, "malformed response");
+                return;
+            }
             if (isOfOtherCall(response)) {
                 mListener.onFailure(true, false, "response names another call");
                 return;
--- a/oriolewind-node/src/main/java/org/oriolewind/node/http/ResponseSyntax.java
+++ b/oriolewind-node/src/main/java/org/oriolewind/node/http/ResponseSyntax.java
@@ -11,7 +11,7 @@
  * Finds responses that the decoder accepts although they are no HTTP, or consist of the start of
  * one response and the rest of another. Stateless.
  */
-final class ResponseSyntax {
+public final class ResponseSyntax {
     private static final int MIN_STATUS = 100;
     private static final int MAX_STATUS = 999;
 
@@ -24,7 +24,7 @@
 
     static boolean isValid(FullHttpResponse response) {
         return !response.decoderResult().isFailure()
-                && hasValidStatus(response)
+                && isValidStatus(response.status().code())
                 && !containsStatusLine(response.status().reasonPhrase())
                 && !containsStatusLine(response.headers())
                 && !containsStatusLine(response.trailingHeaders());
@@ -40,13 +40,17 @@
         return false;
     }
 
-    private static boolean containsStatusLine(String text) {
+    /**
+     * Returns whether a part of a response begins another one.
+     *
+     * @param text the reason phrase or the value of a header or trailer
+     */
+    public static boolean containsStatusLine(String text) {
         return text.contains(PROTOCOL) && STATUS_LINE.matcher(text).find();
     }
 
     /** Status 101 is never valid, since requests don't ask for another protocol. */
-    private static boolean hasValidStatus(FullHttpResponse response) {
-        int status = response.status().code();
+    public static boolean isValidStatus(int status) {
         return status >= MIN_STATUS
                 && status <= MAX_STATUS
                 && status != HttpResponseStatus.SWITCHING_PROTOCOLS.code();
--- a/oriolewind-node/src/test/java/org/oriolewind/node/call/BackendClientTest.java
+++ b/oriolewind-node/src/test/java/org/oriolewind/node/call/BackendClientTest.java
@@ -146,6 +146,55 @@
         }
     }
 
+    /** Guards against the status of a cut response with the headers and body of another one. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "HTTP/1.1 200 ",
+                "HTTP/1.1 200 O",
+                "HTTP/1.1 200 OK",
+                "HTTP/1.1 200 OK\r",
+                "HTTP/1.1 200 OK\r\n",
+                "HTTP/1.1 200 OK\r\nX: ",
+                "HTTP/1.1 200 OK\r\nX: y\r\n ",
+                "HTTP/1.1 200 OK\r\nOriolewind-Call: a\r\nX: y",
+                "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX: "
+            })
+    void statusOfACutResponseIsNotCombinedWithTheNextResponse(String cut) throws Exception {
+        send("a");
+        try (Socket socket = mServer.accept()) {
+            String next =
+                    "HTTP/1.1 500 Failed\r\nOriolewind-Call: a\r\nContent-Length: 2\r\n\r\nno";
+            BufferedReader reader = respond(socket, cut + next);
+            assertEquals("unknown", outcome());
+            assertEquals(-1, reader.read());
+        }
+    }
+
+    /** Guards against an answer with a status that callers can't read. */
+    @ParameterizedTest
+    @ValueSource(strings = {"0", "20", "099", "101", "1000", "2000"})
+    void statusThatCannotBeAnAnswerIsAFailure(String status) throws Exception {
+        send("a");
+        try (Socket socket = mServer.accept()) {
+            respond(socket, "HTTP/1.1 " + status + " S\r\nContent-Length: 0\r\n\r\n");
+            assertEquals("unknown", outcome());
+        }
+    }
+
+    /** Guards against a response that is given to the call whose ID comes first in it. */
+    @ParameterizedTest
+    @CsvSource({"a, b", "b, a"})
+    void responseThatNamesTwoCallsIsAFailure(String first, String second) throws Exception {
+        send("a");
+        try (Socket socket = mServer.accept()) {
+            String ids = "Oriolewind-Call: " + first + "\r\nOriolewind-Call: " + second + "\r\n";
+            BufferedReader reader = respond(socket, String.format(RESPONSE, "200 OK", ids));
+            assertEquals("unknown", outcome());
+            assertEquals(-1, reader.read());
+        }
+    }
+
     @Test
     void responseWithoutLengthThatIsResetIsIncomplete() throws Exception {
         send("a");
