--- a/oriolewind-node/src/main/java/org/oriolewind/node/http/ConnectionEndDetector.java
+++ b/oriolewind-node/src/main/java/org/oriolewind/node/http/ConnectionEndDetector.java
@@ -12,8 +12,8 @@
  * exception precedes each end that did not come from the server. Needs {@link
  * io.netty.channel.ChannelOption#ALLOW_HALF_CLOSURE}, since without it all ends look alike.
  *
- * <p>Invariant: a connection that has failed is never ended by the server afterwards. Confined to
- * the event loop.
+ * <p>Invariant: a connection is reported either as failed or as ended by the server, not as both.
+ * Confined to the event loop.
  */
 final class ConnectionEndDetector extends ChannelInboundHandlerAdapter {
     private boolean mEndedByServer;
--- a/oriolewind-node/src/main/java/org/oriolewind/node/http/HttpConnection.java
+++ b/oriolewind-node/src/main/java/org/oriolewind/node/http/HttpConnection.java
@@ -14,11 +14,10 @@
 import java.util.function.Consumer;
 
 /**
- * One connection to a server, which carries one request at a time. It is closed and not reused
- * after an error, after an unsolicited or malformed response, after a response that arrived before
- * the request was written, and after one that doesn't name its request, since a copy of it could be
- * taken for the answer to the next request. It carries each request ID at most once, since a copy
- * of the first response would answer the second request. Confined to the event loop.
+ * One connection to a server, which carries one request at a time, and each request ID at most
+ * once: a late copy of the first response would answer a second request with the ID. It is reused
+ * only after a response that leaves nothing behind which the next request could be given; see
+ * {@link #isReusableAfter}. Confined to the event loop.
  */
 final class HttpConnection extends SimpleChannelInboundHandler<FullHttpResponse> {
     /** Share of the idle timeout stated by the server for which an idle connection is reused. */
@@ -111,14 +110,7 @@
             return;
         }
         mExchange = null;
-        boolean reusable =
-                identified
-                        && !mUnexpectedResponse
-                        && HttpUtil.isKeepAlive(response)
-                        && !mEndDetector.isEndedByServer()
-                        && mWriteFuture.isDone()
-                        && !mDecoder.hasUndecodedBytes()
-                        && mRequestIds.size() < MAX_REQUEST_IDS;
+        boolean reusable = identified && isReusableAfter(response);
         applyKeepAliveTimeout(response.headers().get("Keep-Alive"));
         exchange.succeed(
                 response,
@@ -134,6 +126,20 @@
         }
     }
 
+    /**
+     * Returns whether another request may follow a response that names its request. A response that
+     * doesn't name it may be written once more, which can't be told from the answer to the next
+     * request.
+     */
+    private boolean isReusableAfter(FullHttpResponse response) {
+        return HttpUtil.isKeepAlive(response)
+                && mWriteFuture.isDone()
+                && !mUnexpectedResponse
+                && !mDecoder.hasUndecodedBytes()
+                && !mEndDetector.isEndedByServer()
+                && mRequestIds.size() < MAX_REQUEST_IDS;
+    }
+
     private void applyKeepAliveTimeout(String keepAlive) {
         if (keepAlive == null) {
             return;
